--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup run test format lint types imports unit clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements-dev.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes --requirement requirements-dev.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(BIN)/orchidpath fleet run examples/vinbrug.toml
+
+test: format lint types imports unit
+
+format: $(STAMP)
+	$(BIN)/ruff format --check .
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+imports: $(STAMP)
+	$(BIN)/lint-imports
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest -n 4
+
+clean:
+	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/src/orchidpath/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module a command group."""
--- /dev/null
+++ b/src/orchidpath/common/__init__.py
@@ -0,0 +1,1 @@
+"""What every role shares: identifiers, clock, errors, settings, logging, metrics, backoff."""
--- /dev/null
+++ b/src/orchidpath/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, leases, membership change, snapshots and storage."""
--- /dev/null
+++ b/src/orchidpath/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: consensus shell, sessions with the fleet and the operators' HTTP API."""
--- /dev/null
+++ b/src/orchidpath/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Local fleet on loopback: start, watch, fault and stop every role."""
--- /dev/null
+++ b/src/orchidpath/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Desired state, plans and role changes."""
--- /dev/null
+++ b/src/orchidpath/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation of the fleet in virtual time, with invariant checkers."""
--- /dev/null
+++ b/src/orchidpath/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated model workers, plain services and callers."""
--- /dev/null
+++ b/src/orchidpath/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: configuration, fleet membership, orders and circuits."""
--- /dev/null
+++ b/src/orchidpath/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checker, replay, bench and reports."""
--- /dev/null
+++ b/src/orchidpath/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framed messages over TCP: the only transport between the fleet's own processes."""
