--- /dev/null
+++ b/src/orchidpath/consensus/effects.py
@@ -0,0 +1,72 @@
+"""What a replica asks its shell to do.
+
+The shell executes effects strictly in list order, and lists in the order in which the calls
+returned them. Every `Persist*` effect is synced to disk before any later effect runs; a failed
+sync is fatal for the replica and never retried. This order is what makes an answer safe: a vote
+or an acknowledgement is sent only after the record it promises has become durable.
+"""
+
+import msgspec
+
+from orchidpath.consensus.messages import RaftMessage
+from orchidpath.consensus.types import HardState, LogEntry, Role, Snapshot
+
+
+class PersistHardState(msgspec.Struct, frozen=True):
+    """Write and sync term and vote."""
+
+    hard_state: HardState
+
+
+class PersistEntries(msgspec.Struct, frozen=True):
+    """Drop entries from `truncate_from` on (unless None), append `entries`, and sync."""
+
+    truncate_from: int | None
+    entries: list[LogEntry]
+
+
+class PersistSnapshot(msgspec.Struct, frozen=True):
+    """Replace the snapshot and sync.
+
+    Entries after it are kept only if the log holds its last entry with the same term.
+    """
+
+    snapshot: Snapshot
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send a message to a replica; loss is allowed."""
+
+    to: str
+    message: RaftMessage
+
+
+class Apply(msgspec.Struct, frozen=True):
+    """Apply a committed entry to the state machine."""
+
+    entry: LogEntry
+
+
+class ApplySnapshot(msgspec.Struct, frozen=True):
+    """Replace the state machine by a snapshot."""
+
+    snapshot: Snapshot
+
+
+class LeadershipChanged(msgspec.Struct, frozen=True):
+    """Role, term or known leader has changed."""
+
+    role: Role
+    term: int
+    leader_id: str | None
+
+
+Effect = (
+    PersistHardState
+    | PersistEntries
+    | PersistSnapshot
+    | Send
+    | Apply
+    | ApplySnapshot
+    | LeadershipChanged
+)
--- /dev/null
+++ b/src/orchidpath/wire/records.py
@@ -0,0 +1,119 @@
+"""Records of the fleet's shared state, as they travel and as they are kept.
+
+All of them belong to the replicated state machine (:mod:`orchidpath.state`); routers hold copies
+that are as new as the revision they have adopted.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from orchidpath.wire.configuration import Configuration
+
+
+class Stage(StrEnum):
+    """The part that a worker plays in its service."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    PLAIN = "plain"
+
+
+class WorkerStatus(StrEnum):
+    """What the fleet has agreed on about a worker."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class WorkerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One worker as agreed by the control tier.
+
+    ``incarnation`` is new for every start of the worker's process. ``url`` is the worker's HTTP
+    base address by IP number. ``held`` is set by the control tier while a plan changes the
+    worker's part; a held worker gets no new request.
+    """
+
+    worker_id: str
+    incarnation: str
+    service: str
+    stage: Stage
+    url: str
+    models: tuple[str, ...] = ()
+    zone: str = ""
+    failure_domain: str = ""
+    status: WorkerStatus = WorkerStatus.READY
+    held: bool = False
+
+
+class RouterRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One registered router: its wire address, its HTTP address and its zone."""
+
+    router_id: str
+    address: str
+    http_address: str
+    zone: str = ""
+
+
+class CircuitStatus(StrEnum):
+    """Operators' view of a worker's circuit (paper, deployments view; quarantine is ours)."""
+
+    AVAILABLE = "available"
+    COOLDOWN = "cooldown"
+    HALF_OPEN = "half_open"
+    RATE_LIMITED = "rate_limited"
+    QUARANTINED = "quarantined"
+
+
+class CircuitRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The agreed part of a worker's circuit; it changes through the replicated log only.
+
+    ``generation`` counts transitions, so a late report on an earlier generation changes nothing.
+    ``duration_seconds`` counts from the moment a replica applied the record, on that replica's own
+    monotonic clock: replicas apply within milliseconds of each other, and no wall clock is trusted.
+    ``probe_owner`` is the attempt that owns the probe of a half-open circuit.
+    """
+
+    worker_id: str
+    status: CircuitStatus
+    generation: int
+    reopenings: int = 0
+    duration_seconds: float = 0.0
+    probe_owner: str = ""
+
+
+class CapacityRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A capacity circuit shared by every worker of one failure domain."""
+
+    failure_domain: str
+    generation: int
+    duration_seconds: float
+
+
+class FleetView(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything a router must know, at one revision of the replicated state.
+
+    ``revision`` grows with every change; ``configuration_version`` grows with every configuration
+    taken. Neither ever goes back.
+    """
+
+    revision: int
+    configuration_version: int
+    configuration: Configuration
+    workers: tuple[WorkerRecord, ...] = ()
+    routers: tuple[RouterRecord, ...] = ()
+    witnesses: tuple[str, ...] = ()
+
+
+class ControlMember(msgspec.Struct, frozen=True, kw_only=True):
+    """One control replica; ``address`` is its wire address, ``http_address`` the operators' one.
+
+    ``node_id`` is the replica's identity: the process's name and a random part that lives in its
+    data folder, so a process whose folder vanished comes back as another replica.
+    """
+
+    node_id: str
+    address: str
+    http_address: str = ""
+    voter: bool = True
