Framed transport, link faults, settings files, daemon shell, logs, metrics

Cause: the fleet's processes need one transport and one thin shell. Change: length and CRC32C framed msgpack over TCP with Hello first, links kept alive with jittered backoff, bounded outgoing buffers, injected cuts for tests; settings checked with every problem at once.

--- /dev/null
+++ b/src/orchidpath/common/addresses.py
@@ -0,0 +1,39 @@
+"""Addresses of processes: an IP number and a port, never a name."""
+
+from ipaddress import ip_address
+
+from orchidpath.common.errors import OrchidpathError
+
+MAX_PORT = 65535
+"""Largest TCP port."""
+
+
+class AddressError(OrchidpathError):
+    """A text is not an address of the form ``IP:port``."""
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port`` (IPv6 in brackets) into host and port.
+
+    Raises
+    ------
+    AddressError
+        The text has another form, the host is a name, or the port is out of range.
+    """
+    host, separator, port_text = address.rpartition(":")
+    if not separator:
+        raise AddressError(f"{address!r} is not of the form IP:port")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    try:
+        ip_address(host)
+    except ValueError as error:
+        raise AddressError(f"{host!r} in {address!r} is not an IP number") from error
+    if not (port_text.isascii() and port_text.isdigit()) or int(port_text) > MAX_PORT:
+        raise AddressError(f"{port_text!r} in {address!r} is not a port up to {MAX_PORT}")
+    return host, int(port_text)
+
+
+def format_address(host: str, port: int) -> str:
+    """Join an IP number and a port; the inverse of :func:`parse_address`."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/src/orchidpath/common/daemon.py
@@ -0,0 +1,202 @@
+"""The thin shell around every deployed process: signals, graceful stop, reload, exit code."""
+
+import asyncio
+import contextlib
+import os
+import signal
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from enum import IntEnum
+from typing import Any, Generic, TypeVar
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.common.logs import Logger, get_logger
+
+STOP_GRACE_SECONDS = 2.0
+"""Added to the drain time before a stop that does not end is given up."""
+
+CANCEL_GRACE_SECONDS = 0.2
+"""Time for a given-up stop to notice that it was cancelled."""
+
+
+class ExitCode(IntEnum):
+    """Exit codes of every orchidpath command."""
+
+    OK = 0
+    FAILED = 1
+    INVALID_INPUT = 2
+    STOPPED_HARD = 3
+
+
+SettingsT = TypeVar("SettingsT")
+
+
+class Daemon(ABC, Generic[SettingsT]):
+    """A long-running process; subclass it, and run it with :func:`run_daemon`."""
+
+    def __init__(self) -> None:
+        self._failed: asyncio.Future[OrchidpathError] | None = None
+        self._early_failure: OrchidpathError | None = None
+
+    @property
+    @abstractmethod
+    def drain_seconds(self) -> float:
+        """How long a graceful stop may take."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Bind, start tasks and return; an :class:`OrchidpathError` or OSError ends the process."""
+
+    @abstractmethod
+    async def stop(self, drain_seconds: float) -> None:
+        """Refuse new work, finish what is running within ``drain_seconds``, and close."""
+
+    @abstractmethod
+    async def reload(self, settings: SettingsT) -> None:
+        """Take over new, valid settings as far as they can change in a running process."""
+
+    def fail(self, error: OrchidpathError) -> None:
+        """End the process with :attr:`ExitCode.FAILED`; for faults that it can't serve with."""
+        self._early_failure = self._early_failure or error
+        if self._failed is not None and not self._failed.done():
+            self._failed.set_result(error)
+
+    async def failure(self) -> OrchidpathError:
+        """Wait until :meth:`fail` is called and return its error."""
+        if self._failed is None:
+            self._failed = asyncio.get_running_loop().create_future()
+        if self._early_failure is not None:
+            return self._early_failure
+        return await asyncio.shield(self._failed)
+
+
+def run_daemon(daemon: Daemon[SettingsT], load_settings: Callable[[], SettingsT]) -> int:
+    """Run a daemon until it is told to stop.
+
+    Parameters
+    ----------
+    daemon
+        The process to run.
+    load_settings
+        Reads the settings again on SIGHUP; when it raises an :class:`OrchidpathError` nothing
+        changes and the reason is logged.
+
+    Returns
+    -------
+    int
+        The exit code.
+    """
+    return asyncio.run(_serve_process(daemon, load_settings))
+
+
+async def _serve_process(daemon: Daemon[SettingsT], load_settings: Callable[[], SettingsT]) -> int:
+    exit_code = await serve(daemon, load_settings)
+    if exit_code == ExitCode.STOPPED_HARD:
+        # The end of asyncio.run would wait for tasks that did not end in time. Nothing is lost:
+        # whatever was acknowledged has been synced before.
+        os._exit(exit_code)
+    return exit_code
+
+
+async def serve(daemon: Daemon[SettingsT], load_settings: Callable[[], SettingsT]) -> int:
+    """Run a daemon inside a running event loop; see :func:`run_daemon`."""
+    shell = _Shell(daemon, load_settings)
+    shell.install_signal_handlers()
+    try:
+        return await shell.run()
+    finally:
+        shell.remove_signal_handlers()
+
+
+class _Shell(Generic[SettingsT]):
+    """State of one run: which signals have come."""
+
+    def __init__(self, daemon: Daemon[SettingsT], load_settings: Callable[[], SettingsT]) -> None:
+        self._daemon = daemon
+        self._load_settings = load_settings
+        self._logger: Logger = get_logger("daemon")
+        self._stop_requested = asyncio.Event()
+        self._hard_stop_requested = asyncio.Event()
+        self._reload_requested = asyncio.Event()
+
+    def install_signal_handlers(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGINT, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
+
+    def remove_signal_handlers(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+
+    def _on_stop_signal(self) -> None:
+        if self._stop_requested.is_set():
+            self._hard_stop_requested.set()
+        self._stop_requested.set()
+
+    async def run(self) -> int:
+        failure = asyncio.ensure_future(self._daemon.failure())
+        try:
+            await self._daemon.start()
+        except (OrchidpathError, OSError) as error:
+            self._logger.error("start_failed", error=str(error), kind=type(error).__name__)
+            failure.cancel()
+            return ExitCode.FAILED
+        self._logger.info("started")
+        reloading = asyncio.ensure_future(self._reload_forever())
+        try:
+            await self._wait_for_end(failure)
+            return await self._finish(failure)
+        finally:
+            reloading.cancel()
+            failure.cancel()
+
+    async def _wait_for_end(self, failure: asyncio.Future[OrchidpathError]) -> None:
+        stopping = asyncio.ensure_future(self._stop_requested.wait())
+        ends: set[asyncio.Future[Any]] = {stopping, failure}
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+
+    async def _finish(self, failure: asyncio.Future[OrchidpathError]) -> int:
+        exit_code = ExitCode.OK
+        if failure.done():
+            error = failure.result()
+            self._logger.error("failed", error=str(error), kind=type(error).__name__)
+            exit_code = ExitCode.FAILED
+        drain_seconds = self._daemon.drain_seconds if exit_code is ExitCode.OK else 0.0
+        self._logger.info("stopping", drain_seconds=drain_seconds)
+        if not await self._stop(drain_seconds):
+            self._logger.warning("stopped_hard")
+            return ExitCode.STOPPED_HARD if exit_code is ExitCode.OK else exit_code
+        self._logger.info("stopped")
+        return exit_code
+
+    async def _stop(self, drain_seconds: float) -> bool:
+        stop = asyncio.ensure_future(self._daemon.stop(drain_seconds))
+        hard = asyncio.ensure_future(self._hard_stop_requested.wait())
+        await asyncio.wait(
+            {stop, hard},
+            timeout=drain_seconds + STOP_GRACE_SECONDS,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        hard.cancel()
+        if stop.done():
+            stop.result()
+            return True
+        stop.cancel()
+        with contextlib.suppress(asyncio.CancelledError, TimeoutError, OrchidpathError):
+            await asyncio.wait_for(stop, CANCEL_GRACE_SECONDS)
+        return False
+
+    async def _reload_forever(self) -> None:
+        while True:
+            await self._reload_requested.wait()
+            self._reload_requested.clear()
+            try:
+                settings = self._load_settings()
+                await self._daemon.reload(settings)
+            except OrchidpathError as error:
+                self._logger.error("reload_refused", error=str(error))
+            else:
+                self._logger.info("reloaded")
--- a/src/orchidpath/common/settings.py
+++ b/src/orchidpath/common/settings.py
@@ -1,6 +1,7 @@
 """Typed settings of the deployed processes, read from a TOML or JSON file.
 
-Every setting is documented here; the settings reference is made from these structs.
+Every setting is documented here; the settings reference is made from these structs. Files are
+read and checked by :mod:`orchidpath.common.settings_file`.
 """
 
 import msgspec
@@ -8,11 +9,36 @@
 DEFAULT_HOST = "127.0.0.1"
 """Loopback: a process is only reachable from elsewhere when its settings say so."""
 
+SEED_COUNT = 3
+"""How many seed addresses a settings file names; they may be swapped and may include its own."""
+
 
 class RouterSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of one router process.
 
-    ``seeds`` are wire addresses (``IP:port``) of any processes of the fleet, routers included.
+    Attributes
+    ----------
+    node_id
+        Name of this process, unique in the fleet.
+    fleet
+        Name of the fleet; processes of another fleet are refused.
+    zone
+        Zone of this machine; workers of the same zone are preferred for decode.
+    wire_address
+        ``IP:port`` at which the fleet's own processes reach this one.
+    http_address
+        ``IP:port`` at which callers, probes and announcing workers reach this one.
+    seeds
+        Three wire addresses of any processes of the fleet, routers included.
+    log_level
+        ``debug``, ``info``, ``warning`` or ``error``.
+    drain_seconds
+        How long a graceful stop waits for running requests.
+    decision_timeout_seconds
+        How long a decision waits for the shared state before the last known state is used.
+    fault_file
+        For tests only: JSON file of injected link faults (:mod:`orchidpath.wire.faults`), read
+        again each 100 ms; empty for none.
     """
 
     node_id: str
@@ -24,15 +50,45 @@
     log_level: str = "info"
     drain_seconds: float = 10.0
     decision_timeout_seconds: float = 0.25
+    fault_file: str = ""
 
 
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of one control process.
 
-    ``formation_members`` are the wire addresses of the control processes of a new fleet. They are
-    looked at only while the data folder is empty: the first one listed forms a new fleet if every
-    other one answers that it belongs to none; every other process joins as a learner.
-    ``target_voters`` is how many voters the leader keeps up out of all control processes.
+    Attributes
+    ----------
+    node_id
+        Name of this process, unique in the fleet.
+    fleet
+        Name of the fleet; processes of another fleet are refused.
+    zone
+        Zone of this machine.
+    wire_address
+        ``IP:port`` at which the fleet's own processes reach this one.
+    http_address
+        ``IP:port`` at which operators and announcing workers reach this one.
+    seeds
+        Three wire addresses of any processes of the fleet, routers included.
+    data_folder
+        Folder on the disk for everything that this process keeps; made when missing.
+    formation_members
+        Wire addresses of the control processes of a new fleet. Looked at only while the data
+        folder is empty: the first one listed forms a new fleet if every other one answers that it
+        belongs to none; every other process joins as a learner.
+    target_voters
+        How many voters the leader keeps up out of all control processes.
+    replace_voter_after_seconds
+        A voter not heard for this long is replaced by a standby that is caught up.
+    log_level
+        ``debug``, ``info``, ``warning`` or ``error``.
+    drain_seconds
+        How long a graceful stop may take, handing over the leadership included.
+    sync_delay_warning_seconds
+        A disk sync slower than this is logged.
+    fault_file
+        For tests only: JSON file of injected link faults (:mod:`orchidpath.wire.faults`), read
+        again each 100 ms; empty for none.
     """
 
     node_id: str
@@ -46,4 +102,6 @@
     target_voters: int = 3
     replace_voter_after_seconds: float = 8.0
     log_level: str = "info"
+    drain_seconds: float = 5.0
     sync_delay_warning_seconds: float = 0.2
+    fault_file: str = ""
--- /dev/null
+++ b/src/orchidpath/common/settings_errors.py
@@ -0,0 +1,34 @@
+"""Problems found in files that people write, reported all at once."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.common.errors import OrchidpathError
+
+
+class SettingProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """One problem: in which file, at which path inside it, and what is expected there."""
+
+    file: str
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line."""
+        place = f"{self.file}: {self.path}" if self.path else self.file
+        return f"{place}: {' '.join(self.message.split())}"
+
+
+class SettingsError(OrchidpathError):
+    """A file is not valid.
+
+    Parameters
+    ----------
+    problems
+        Every problem found, at least one.
+    """
+
+    def __init__(self, problems: Sequence[SettingProblem]) -> None:
+        self.problems = tuple(problems)
+        super().__init__("; ".join(map(str, self.problems)))
--- /dev/null
+++ b/src/orchidpath/common/settings_file.py
@@ -0,0 +1,117 @@
+"""Loads TOML or JSON files into typed structs and reports every problem at once."""
+
+import json
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import msgspec
+
+from orchidpath.common.settings_checks import check_settings
+from orchidpath.common.settings_errors import SettingProblem, SettingsError
+from orchidpath.common.typed_walk import Mismatch, find_mismatches
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
+"""A larger file is refused unread."""
+
+StructT = TypeVar("StructT", bound=msgspec.Struct)
+
+
+def load_settings(
+    path: Path,
+    expected: type[StructT],
+    check: Callable[[StructT], list[Mismatch]] = check_settings,
+) -> StructT:
+    """Load and check a settings file.
+
+    Parameters
+    ----------
+    path
+        File to read; its suffix, ``.toml`` or ``.json``, says in which form.
+    expected
+        Struct to load into.
+    check
+        Checks beyond the types.
+
+    Raises
+    ------
+    SettingsError
+        Holds every problem: all type mismatches, or, when there is none, all failed checks.
+    """
+    return convert_settings(read_table(path), str(path), expected, check)
+
+
+def convert_settings(
+    table: dict[str, Any],
+    file: str,
+    expected: type[StructT],
+    check: Callable[[StructT], list[Mismatch]] = check_settings,
+) -> StructT:
+    """Convert and check an already decoded file; see :func:`load_settings`."""
+    _raise_if_any(file, find_mismatches(table, expected))
+    settings = msgspec.convert(table, expected)
+    _raise_if_any(file, check(settings))
+    return settings
+
+
+def read_table(path: Path) -> dict[str, Any]:
+    """Decode a TOML or JSON file whose top level is a table.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, has another suffix or is no valid TOML or JSON.
+    """
+    return decode_table(path, _read_bytes(path))
+
+
+def decode_table(path: Path, content: bytes) -> dict[str, Any]:
+    """Decode the content of a file; see :func:`read_table`."""
+    try:
+        table = _parse(path, content.decode())
+    except UnicodeDecodeError as error:
+        _refuse(path, f"not UTF-8 text: {error}")
+    except (tomllib.TOMLDecodeError, json.JSONDecodeError) as error:
+        _refuse(path, f"not valid {_form_of(path)}: {error}")
+    except (ValueError, RecursionError) as error:
+        _refuse(path, f"can't be decoded: {error}")
+    if not isinstance(table, dict):
+        _refuse(path, "expected a table at the top level")
+    return table
+
+
+def _read_bytes(path: Path) -> bytes:
+    try:
+        if path.stat().st_size > MAX_FILE_BYTES:
+            _refuse(path, f"larger than {MAX_FILE_BYTES} bytes")
+        return path.read_bytes()
+    except (OSError, ValueError) as error:
+        _refuse(path, f"can't be read: {error}")
+
+
+def _parse(path: Path, text: str) -> object:
+    if path.suffix == ".toml":
+        return tomllib.loads(text)
+    if path.suffix == ".json":
+        return json.loads(text, parse_constant=_refuse_constant)
+    return _refuse(path, "expected a name that ends in .toml or .json")
+
+
+def _refuse_constant(constant: str) -> NoReturn:
+    raise ValueError(f"{constant} is no JSON value")
+
+
+def _form_of(path: Path) -> str:
+    return path.suffix.removeprefix(".").upper()
+
+
+def _refuse(path: Path, message: str) -> NoReturn:
+    raise SettingsError([SettingProblem(file=str(path), path="", message=message)])
+
+
+def _raise_if_any(file: str, mismatches: list[Mismatch]) -> None:
+    if mismatches:
+        raise SettingsError(
+            [SettingProblem(file=file, path=each.path, message=each.message) for each in mismatches]
+        )
--- a/src/orchidpath/wire/backend.py
+++ b/src/orchidpath/wire/backend.py
@@ -155,10 +155,15 @@
 
 
 class CancelReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to a cancellation; ``ran=no`` is the promise that it did not and never will run."""
+    """Answer to a cancellation; ``ran=no`` is the promise that it did not and never will run.
+
+    The promise only counts from the incarnation that got the order: a restarted worker does not
+    know what it ran before.
+    """
 
     attempt_id: str
     ran: Ran
+    incarnation: str = ""
 
 
 class Announcement(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/orchidpath/wire/framing.py
@@ -0,0 +1,129 @@
+"""Frames of the fleet's own transport: length, checksum, one msgpack message.
+
+A frame is a 4-byte big-endian length of the payload, the 4-byte CRC32C of the payload and the
+payload itself: one :data:`orchidpath.wire.messages.Message`. This module does no input or output.
+"""
+
+import struct
+
+import msgspec
+from crc32c import crc32c
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.wire.messages import Message
+
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+"""Largest payload of one frame; more is refused on both ends."""
+
+_HEADER = struct.Struct(">II")
+_COMPACT_THRESHOLD_BYTES = 64 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+class FrameError(OrchidpathError):
+    """Base of the errors of a stream of frames; the stream is unusable after one."""
+
+
+class FrameTooLargeError(FrameError):
+    """A frame is longer than :data:`MAX_FRAME_BYTES`."""
+
+
+class FrameDamagedError(FrameError):
+    """A frame's checksum does not match or its payload is not msgpack."""
+
+
+class UnknownMessageError(FrameError):
+    """A frame is whole but holds no message of this version's types."""
+
+
+def encode_frame(message: Message) -> bytes:
+    """Encode one message as one frame.
+
+    Raises
+    ------
+    FrameTooLargeError
+        The encoded message is longer than :data:`MAX_FRAME_BYTES`.
+    """
+    payload = _encoder.encode(message)
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FrameTooLargeError(f"a message of {len(payload)} bytes is over {MAX_FRAME_BYTES}")
+    return _HEADER.pack(len(payload), crc32c(payload)) + payload
+
+
+class FrameDecoder:
+    """Cuts a stream of bytes into messages, however the bytes were split on their way."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._start = 0
+        self._error: FrameError | None = None
+
+    def feed(self, received: bytes) -> list[Message]:
+        """Take bytes and return every message they complete, in order.
+
+        Parameters
+        ----------
+        received
+            The next bytes of the stream; any number of them.
+
+        Returns
+        -------
+        list of Message
+            The messages that are now whole.
+
+        Raises
+        ------
+        FrameTooLargeError, FrameDamagedError, UnknownMessageError
+            The stream is unusable from here on; every later call raises the same error. Messages
+            completed by the same call are dropped, as loss is allowed and the link gets closed.
+        """
+        if self._error is not None:
+            raise self._error
+        self._buffer += received
+        messages: list[Message] = []
+        try:
+            while (message := self._next_message()) is not None:
+                messages.append(message)
+        except FrameError as error:
+            self._error = error
+            self._buffer.clear()
+            raise
+        self._compact()
+        return messages
+
+    def _next_message(self) -> Message | None:
+        payload_start = self._start + _HEADER.size
+        if len(self._buffer) < payload_start:
+            return None
+        length, checksum = _HEADER.unpack_from(self._buffer, self._start)
+        if length > MAX_FRAME_BYTES:
+            raise FrameTooLargeError(f"a frame of {length} bytes is over {MAX_FRAME_BYTES}")
+        payload_end = payload_start + length
+        if len(self._buffer) < payload_end:
+            return None
+        payload = bytes(memoryview(self._buffer)[payload_start:payload_end])
+        self._start = payload_end
+        return _decode_payload(payload, checksum)
+
+    def _compact(self) -> None:
+        # Deleting the consumed head on every call would copy a half-received large frame again
+        # and again; it is done once the head is large or nothing else is left.
+        if self._start == len(self._buffer):
+            self._buffer.clear()
+            self._start = 0
+        elif self._start >= _COMPACT_THRESHOLD_BYTES:
+            del self._buffer[: self._start]
+            self._start = 0
+
+
+def _decode_payload(payload: bytes, checksum: int) -> Message:
+    if crc32c(payload) != checksum:
+        raise FrameDamagedError("the checksum of a frame does not match")
+    try:
+        return _decoder.decode(payload)
+    except msgspec.ValidationError as error:
+        raise UnknownMessageError(f"a frame holds no known message: {error}") from error
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise FrameDamagedError(f"a frame holds no msgpack value: {error}") from error
--- a/src/orchidpath/wire/messages.py
+++ b/src/orchidpath/wire/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from orchidpath.wire.backend import Announcement
+from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.records import (
     CapacityRecord,
     CircuitRecord,
@@ -298,6 +299,78 @@
     announcements: tuple[Announcement, ...]
 
 
+class OrderAnswer(StrEnum):
+    """What became of an operator's order."""
+
+    CONFIRMED = "confirmed"
+    TAKEN_NOT_CONFIRMED = "taken_not_confirmed"
+    CONFLICT = "conflict"
+    ORDER_ID_REUSED = "order_id_reused"
+    NOT_TAKEN = "not_taken"
+    UNKNOWN = "unknown"
+
+
+class OrderRequest(msgspec.Struct, frozen=True, kw_only=True, tag="order_request"):
+    """An operator's order, forwarded to the leader by the control process that took it.
+
+    Lost: the forwarding process answers ``unknown``. Duplicated: the order id decides.
+    """
+
+    correlation: int
+    order_id: str
+    base_version: int
+    configuration: Configuration
+    digest: str
+
+
+class OrderReply(msgspec.Struct, frozen=True, kw_only=True, tag="order_reply"):
+    """The outcome of a forwarded order. Late: nobody waits any more; the order id remembers."""
+
+    correlation: int
+    answer: OrderAnswer
+    version: int = 0
+    reason: str = ""
+
+
+class ReadIndexRequest(msgspec.Struct, frozen=True, kw_only=True, tag="read_index_request"):
+    """A control process asks the leader up to where its own copy must be for a fresh read."""
+
+    correlation: int
+
+
+class ReadIndexReply(msgspec.Struct, frozen=True, kw_only=True, tag="read_index_reply"):
+    """The index to wait for; ``available`` is false when the asked process may not say."""
+
+    correlation: int
+    available: bool
+    index: int = 0
+
+
+class WorkerCircuitsRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag="worker_circuits_request"
+):
+    """A control process asks the leader for the operators' view of the circuits."""
+
+    correlation: int
+
+
+class WorkerCircuitsReply(msgspec.Struct, frozen=True, kw_only=True, tag="worker_circuits_reply"):
+    """The encoded views (:class:`orchidpath.circuit.table.WorkerCircuitView`)."""
+
+    correlation: int
+    available: bool
+    payload: bytes = b""
+
+
+class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, tag="join_request"):
+    """A control replica that is no member asks the leader to be added as a learner.
+
+    Lost: asked again each second. Duplicated: adding twice changes nothing.
+    """
+
+    member: ControlMember
+
+
 Message = (
     Hello
     | WhoIsControl
@@ -317,6 +390,13 @@
     | CapacityObserved
     | CircuitsView
     | ForwardedAnnouncements
+    | OrderRequest
+    | OrderReply
+    | ReadIndexRequest
+    | ReadIndexReply
+    | WorkerCircuitsRequest
+    | WorkerCircuitsReply
+    | JoinRequest
 )
 """Any message on a connection between two processes of the fleet."""
 
--- /dev/null
+++ b/src/orchidpath/wire/peer_links.py
@@ -0,0 +1,155 @@
+"""Outgoing connections to a changing set of addresses, kept alive."""
+
+import asyncio
+from collections.abc import Callable, Collection
+from contextlib import suppress
+from random import Random
+
+from orchidpath.common.backoff import Backoff
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.wire.connection import (
+    Connection,
+    ConnectionHandler,
+    MessageHandler,
+    connect,
+)
+from orchidpath.wire.errors import ConnectionClosedError
+from orchidpath.wire.faults import LinkFaults
+from orchidpath.wire.messages import Hello, Message
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+"""Bound on one try to connect to a peer."""
+
+RECONNECT_BASE_SECONDS = 0.05
+"""Upper bound of the first delay before a reconnect."""
+
+RECONNECT_CAP_SECONDS = 1.0
+"""Upper bound of every delay before a reconnect: a peer that is back is used within about 1 s."""
+
+FailureHandler = Callable[[str, OrchidpathError], None]
+"""Called with the address and the error when a try to connect failed."""
+
+
+def _ignore(_connection: Connection) -> None:
+    """Do nothing."""
+
+
+def _ignore_failure(_address: str, _error: OrchidpathError) -> None:
+    """Do nothing."""
+
+
+class PeerLinks:
+    """Keeps one outgoing connection to each of a changing set of addresses.
+
+    Must be used inside a running event loop.
+
+    Parameters
+    ----------
+    hello
+        What this end says of itself.
+    on_message
+        Called for each message of any link, synchronously and in order for each link.
+    random
+        Source of the reconnect jitter.
+    on_connect, on_close
+        Called when a link is up or down; ``connection.dialled_address`` names it.
+    on_failure
+        Called for each failed try to connect.
+    faults
+        Injected faults, for tests.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        on_message: MessageHandler,
+        random: Random,
+        *,
+        on_connect: ConnectionHandler = _ignore,
+        on_close: ConnectionHandler = _ignore,
+        on_failure: FailureHandler = _ignore_failure,
+        faults: LinkFaults | None = None,
+    ) -> None:
+        self._hello = hello
+        self._on_message = on_message
+        self._random = random
+        self._on_connect = on_connect
+        self._on_close = on_close
+        self._on_failure = on_failure
+        self._faults = faults
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._connections: dict[str, Connection] = {}
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """The addresses to which links are kept."""
+        return frozenset(self._tasks)
+
+    def set_addresses(self, addresses: Collection[str]) -> None:
+        """Replace the set of addresses: new ones are connected to, the others are closed."""
+        for address in self._tasks.keys() - set(addresses):
+            self._tasks.pop(address).cancel()
+        for address in addresses:
+            if address not in self._tasks:
+                self._tasks[address] = asyncio.create_task(self._keep(address))
+
+    def send(self, address: str, message: Message) -> bool:
+        """Send to one address; the message is dropped when its link is not up.
+
+        Returns
+        -------
+        bool
+            False when the message is lost for certain.
+        """
+        connection = self._connections.get(address)
+        return connection is not None and connection.send(message)
+
+    def connection(self, address: str) -> Connection | None:
+        """Return the open connection to an address, if its link is up."""
+        return self._connections.get(address)
+
+    def connections(self) -> tuple[Connection, ...]:
+        """Return every open connection."""
+        return tuple(self._connections.values())
+
+    async def close(self) -> None:
+        """Close every link and wait until their tasks have ended."""
+        tasks = tuple(self._tasks.values())
+        self.set_addresses(())
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _keep(self, address: str) -> None:
+        backoff = Backoff(RECONNECT_BASE_SECONDS, RECONNECT_CAP_SECONDS, self._random)
+        while True:
+            with suppress(OrchidpathError):
+                await self._use_once(address)
+                backoff.reset()
+            await asyncio.sleep(backoff.next_delay_seconds())
+
+    async def _use_once(self, address: str) -> None:
+        try:
+            connection = await connect(
+                address,
+                self._hello,
+                self._on_message,
+                CONNECT_TIMEOUT_SECONDS,
+                on_connect=self._link_up,
+                on_close=self._link_down,
+                faults=self._faults,
+            )
+        except OrchidpathError as error:
+            self._on_failure(address, error)
+            raise
+        try:
+            await connection.closed.wait()
+        finally:
+            connection.close(ConnectionClosedError("the link is no longer kept"))
+
+    def _link_up(self, connection: Connection) -> None:
+        self._connections[connection.dialled_address] = connection
+        self._on_connect(connection)
+
+    def _link_down(self, connection: Connection) -> None:
+        if self._connections.get(connection.dialled_address) is connection:
+            del self._connections[connection.dialled_address]
+        self._on_close(connection)
--- a/src/orchidpath/wire/records.py
+++ b/src/orchidpath/wire/records.py
@@ -72,7 +72,8 @@
     ``generation`` counts transitions, so a late report on an earlier generation changes nothing.
     ``duration_seconds`` counts from the moment a replica applied the record, on that replica's own
     monotonic clock: replicas apply within milliseconds of each other, and no wall clock is trusted.
-    ``probe_owner`` is the attempt that owns the probe of a half-open circuit.
+    ``probe_owner`` is the attempt that owns the probe of a half-open circuit. ``incarnation`` is
+    the worker's process that the circuit was opened for: a restarted worker starts afresh.
     """
 
     worker_id: str
@@ -81,6 +82,7 @@
     reopenings: int = 0
     duration_seconds: float = 0.0
     probe_owner: str = ""
+    incarnation: str = ""
 
 
 class CapacityRecord(msgspec.Struct, frozen=True, kw_only=True):
