--- /dev/null
+++ b/src/orchidpath/consensus/election.py
@@ -0,0 +1,158 @@
+"""Pre-vote, votes, and the start of a leadership (Raft, sections 5.2, 5.4.1; thesis 9.6)."""
+
+from orchidpath.consensus.messages import RequestVote, RequestVoteReply
+from orchidpath.consensus.replica import Progress, Replica
+from orchidpath.consensus.replication import advance_commit, broadcast_append
+from orchidpath.consensus.types import EntryKind, Guard, HardState, LogEntry, Role
+
+
+def on_election_timeout(replica: Replica, now: float) -> None:
+    """React to silence: a voter asks for pre-votes, a learner only keeps waiting."""
+    replica.arm_election(now)
+    if not replica.is_voter:
+        return
+    if replica.guarded(Guard.PRE_VOTE):
+        _start_pre_vote(replica, now)
+    else:
+        _start_election(replica, now)
+
+
+def _start_pre_vote(replica: Replica, now: float) -> None:
+    """Ask whether an election could be won, without raising the term.
+
+    A replica that was cut off would otherwise come back with a higher term and depose a
+    leader that serves a healthy majority.
+    """
+    replica.set_role(Role.PRE_CANDIDATE, None)
+    replica.votes = {replica.node_id}
+    if _has_vote_quorum(replica):
+        _start_election(replica, now)
+        return
+    _request_votes(replica, term=replica.term + 1, pre_vote=True)
+
+
+def _start_election(replica: Replica, now: float) -> None:
+    # The vote for itself is durable before the first request leaves (order of effects).
+    replica.set_hard_state(HardState(term=replica.term + 1, voted_for=replica.node_id))
+    replica.set_role(Role.CANDIDATE, None)
+    replica.votes = {replica.node_id}
+    replica.arm_election(now)
+    if _has_vote_quorum(replica):
+        _become_leader(replica, now)
+        return
+    _request_votes(replica, term=replica.term, pre_vote=False)
+
+
+def _request_votes(replica: Replica, term: int, pre_vote: bool) -> None:
+    request = RequestVote(
+        sender=replica.node_id,
+        term=term,
+        pre_vote=pre_vote,
+        last_index=replica.log.last_index,
+        last_term=replica.log.last_term,
+    )
+    for node in replica.other_voters:
+        replica.send(node, request)
+
+
+def _has_vote_quorum(replica: Replica) -> bool:
+    membership = replica.log.membership
+    counted = replica.votes.intersection(membership.voters)
+    return len(counted) >= membership.quorum_size()
+
+
+def on_request_vote(replica: Replica, message: RequestVote, now: float) -> None:
+    """Answer a vote or pre-vote.
+
+    The replica answers whether or not its own log counts it as a voter: a candidate's log may
+    hold a newer membership. The candidate counts only the voters of that membership. Without
+    this rule a group that has just grown from one voter to two could never elect again if the
+    entry that promoted the second had not reached it.
+    """
+    if message.term < replica.term or _must_refuse(replica, now):
+        _reply(replica, message, granted=False)
+        return
+    up_to_date = _is_up_to_date(replica, message)
+    if message.pre_vote:
+        _reply(replica, message, granted=up_to_date and message.term > replica.term)
+        return
+    if message.term > replica.term:
+        replica.become_follower(message.term, None)
+    free = replica.hard_state.voted_for in (None, message.sender) and replica.leader_id is None
+    granted = free and up_to_date
+    if granted:
+        replica.set_hard_state(HardState(term=replica.term, voted_for=message.sender))
+        replica.arm_election(now)
+    _reply(replica, message, granted=granted)
+
+
+def _must_refuse(replica: Replica, now: float) -> bool:
+    """Return whether a promise to a leader may still bind this replica.
+
+    A leader's lease rests on followers that refuse votes for the shortest election timeout
+    after they heard it. A restarted replica has forgotten when that was, so it refuses for the
+    same time after its start: whatever it promised before has run out by then. The term of a
+    refused request isn't adopted either, as this would depose the leader all the same.
+    """
+    window = replica.settings.election_timeout_min_seconds
+    if replica.guarded(Guard.RESTART_VOTE_DELAY) and now - replica.started_at < window:
+        return True
+    if not replica.guarded(Guard.LEASE_VOTE_REFUSAL):
+        return False
+    if replica.role is Role.LEADER:
+        return now - replica.quorum_acked_sent_at(now) < window
+    return now - replica.last_leader_contact < window
+
+
+def _is_up_to_date(replica: Replica, message: RequestVote) -> bool:
+    """Return whether the candidate's log holds every entry that may be committed here."""
+    if not replica.guarded(Guard.LOG_UP_TO_DATE):
+        return True
+    own = (replica.log.last_term, replica.log.last_index)
+    return (message.last_term, message.last_index) >= own
+
+
+def _reply(replica: Replica, message: RequestVote, granted: bool) -> None:
+    term = message.term if granted else replica.term
+    reply = RequestVoteReply(
+        sender=replica.node_id, term=term, pre_vote=message.pre_vote, granted=granted
+    )
+    replica.send(message.sender, reply)
+
+
+def on_request_vote_reply(replica: Replica, message: RequestVoteReply, now: float) -> None:
+    """Count a vote, or learn of a newer term."""
+    if not message.granted:
+        if message.term > replica.term:
+            replica.become_follower(message.term, None)
+        return
+    if message.pre_vote:
+        if replica.role is Role.PRE_CANDIDATE and message.term == replica.term + 1:
+            replica.votes.add(message.sender)
+            if _has_vote_quorum(replica):
+                _start_election(replica, now)
+        return
+    if replica.role is Role.CANDIDATE and message.term == replica.term:
+        replica.votes.add(message.sender)
+        if _has_vote_quorum(replica):
+            _become_leader(replica, now)
+
+
+def _become_leader(replica: Replica, now: float) -> None:
+    """Lead, and append a no-op.
+
+    Entries of earlier terms commit only together with one of this term, and reads need to know
+    what is committed: the no-op brings both about without waiting for a proposal.
+    """
+    replica.set_role(Role.LEADER, replica.node_id)
+    replica.became_leader_at = now
+    next_index = replica.log.last_index + 1
+    replica.progress = {
+        node: Progress(next_index)
+        for node in replica.log.membership.members()
+        if node != replica.node_id
+    }
+    replica.term_start_index = next_index
+    replica.append_entries([LogEntry(next_index, replica.term, EntryKind.NOOP)])
+    broadcast_append(replica, now, heartbeat=True)
+    advance_commit(replica, now)
--- a/src/orchidpath/consensus/errors.py
+++ b/src/orchidpath/consensus/errors.py
@@ -57,3 +57,7 @@
 
 class StorageFailedError(StorageError):
     """A write or sync failed: fatal for the replica, never retried."""
+
+
+class FolderInUseError(StorageError):
+    """Another process uses the data folder."""
--- /dev/null
+++ b/src/orchidpath/consensus/files.py
@@ -0,0 +1,310 @@
+"""The few file operations that storage needs, on the machine or in memory for simulations."""
+
+import errno
+import fcntl
+import os
+import random as random_module
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+
+class AppendFile(ABC):
+    """A file open for appending."""
+
+    @abstractmethod
+    def write(self, data: bytes) -> None:
+        """Append bytes; they may be lost until `sync` returns."""
+
+    @abstractmethod
+    def sync(self) -> None:
+        """Return once all written bytes are on disk, under the name the file was opened by."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the file without syncing it."""
+
+
+class FileLayer(ABC):
+    """File operations. All of them raise `OSError` when they fail."""
+
+    @abstractmethod
+    def make_folder(self, folder: str) -> None:
+        """Create a folder and its parents unless it exists."""
+
+    @abstractmethod
+    def lock(self, path: str) -> None:
+        """Hold an exclusive lock until the process ends or `unlock`."""
+
+    @abstractmethod
+    def unlock(self, path: str) -> None:
+        """Release a lock."""
+
+    @abstractmethod
+    def list_names(self, folder: str) -> list[str]:
+        """Return the names of the files in a folder."""
+
+    @abstractmethod
+    def read(self, path: str) -> bytes:
+        """Return the content of a file."""
+
+    @abstractmethod
+    def open_append(self, path: str) -> AppendFile:
+        """Open a file for appending, and create it if needed."""
+
+    @abstractmethod
+    def truncate(self, path: str, size_bytes: int) -> None:
+        """Cut a file to a size and sync it."""
+
+    @abstractmethod
+    def rename(self, source: str, target: str) -> None:
+        """Rename a file atomically, replacing the target."""
+
+    @abstractmethod
+    def remove(self, path: str) -> None:
+        """Remove a file."""
+
+    @abstractmethod
+    def sync_folder(self, folder: str) -> None:
+        """Return once created, renamed and removed names are on disk."""
+
+
+class _RealAppendFile(AppendFile):
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+
+    def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._descriptor, view) :]
+
+    def sync(self) -> None:
+        os.fdatasync(self._descriptor)
+        # A removed file still takes writes and syncs. Its records would be gone at the next
+        # start, so the name must still lead to this very file.
+        held = os.fstat(self._descriptor)
+        named = os.stat(self._path)
+        if (held.st_dev, held.st_ino) != (named.st_dev, named.st_ino):
+            raise OSError(errno.ENOENT, "the file was replaced or removed", self._path)
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+
+class RealFiles(FileLayer):
+    """Files of the machine."""
+
+    def __init__(self) -> None:
+        self._locks: dict[str, int] = {}
+
+    def make_folder(self, folder: str) -> None:
+        """Create a folder and its parents unless it exists."""
+        Path(folder).mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.sync_folder(str(Path(folder).parent))
+
+    def lock(self, path: str) -> None:
+        """Hold an exclusive lock until the process ends or `unlock`."""
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(descriptor)
+            raise
+        self._locks[path] = descriptor
+
+    def unlock(self, path: str) -> None:
+        """Release a lock."""
+        descriptor = self._locks.pop(path, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def list_names(self, folder: str) -> list[str]:
+        """Return the names of the files in a folder."""
+        return sorted(os.listdir(folder))
+
+    def read(self, path: str) -> bytes:
+        """Return the content of a file."""
+        return Path(path).read_bytes()
+
+    def open_append(self, path: str) -> AppendFile:
+        """Open a file for appending, and create it if needed."""
+        return _RealAppendFile(path)
+
+    def truncate(self, path: str, size_bytes: int) -> None:
+        """Cut a file to a size and sync it."""
+        descriptor = os.open(path, os.O_WRONLY)
+        try:
+            os.ftruncate(descriptor, size_bytes)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def rename(self, source: str, target: str) -> None:
+        """Rename a file atomically, replacing the target."""
+        os.replace(source, target)
+
+    def remove(self, path: str) -> None:
+        """Remove a file."""
+        os.remove(path)
+
+    def sync_folder(self, folder: str) -> None:
+        """Return once created, renamed and removed names are on disk."""
+        descriptor = os.open(folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+class _SimulatedNode:
+    """Content of a simulated file: what programs see, and what a crash leaves."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.durable = b""
+
+
+class _SimulatedAppendFile(AppendFile):
+    def __init__(self, files: "SimulatedFiles", path: str, node: _SimulatedNode) -> None:
+        self._files = files
+        self._path = path
+        self._node = node
+        self._epoch = files.epoch
+
+    def write(self, data: bytes) -> None:
+        self._check_open()
+        room = self._files.room_bytes()
+        self._node.data.extend(data[:room])
+        if room < len(data):
+            raise OSError(errno.ENOSPC, "no space left", self._path)
+
+    def sync(self) -> None:
+        self._check_open()
+        self._files.check_sync(self._path, self._node)
+        self._node.durable = bytes(self._node.data)
+
+    def close(self) -> None:
+        pass
+
+    def _check_open(self) -> None:
+        if self._epoch != self._files.epoch:
+            raise OSError(errno.EBADF, "opened before the crash", self._path)
+
+
+class SimulatedFiles(FileLayer):
+    """Files in memory, with the faults of disks.
+
+    Attributes
+    ----------
+    epoch
+        Count of crashes; a file opened before one can't be used after it.
+    capacity_bytes
+        Size of the disk, or None for no limit.
+    sync_fails
+        Every sync fails while this is set.
+    """
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.capacity_bytes: int | None = None
+        self.sync_fails = False
+        self._current: dict[str, _SimulatedNode] = {}
+        self._durable: dict[str, _SimulatedNode] = {}
+        self._locks: set[str] = set()
+
+    def crash(self, random: random_module.Random) -> None:
+        """Lose what was not synced: names, and a random part of each unsynced tail."""
+        self.epoch += 1
+        self._locks.clear()
+        self._current = dict(self._durable)
+        for path in sorted(self._current):
+            node = self._current[path]
+            tail = bytes(node.data[len(node.durable) :])
+            kept = tail[: random.randint(0, len(tail))]
+            node.data = bytearray(node.durable + kept)
+            node.durable = bytes(node.data)
+
+    def vanish(self, folder: str) -> None:
+        """Remove a folder's content behind the back of the program that uses it."""
+        for names in (self._current, self._durable):
+            for path in [path for path in names if path.startswith(folder + "/")]:
+                del names[path]
+
+    def damage(self, path: str, offset: int) -> None:
+        """Flip the bits of one byte."""
+        node = self._current[path]
+        node.data[offset] ^= 0xFF
+        node.durable = bytes(node.data)
+
+    def room_bytes(self) -> int:
+        """Return how many bytes still fit."""
+        if self.capacity_bytes is None:
+            return 1 << 62
+        return max(0, self.capacity_bytes - sum(len(n.data) for n in self._current.values()))
+
+    def check_sync(self, path: str, node: _SimulatedNode) -> None:
+        """Raise if a sync of this file can't succeed."""
+        if self.sync_fails:
+            raise OSError(errno.EIO, "sync failed", path)
+        if self._current.get(path) is not node:
+            raise OSError(errno.ENOENT, "the file was replaced or removed", path)
+
+    def make_folder(self, folder: str) -> None:
+        """Do nothing: folders exist through their files."""
+
+    def lock(self, path: str) -> None:
+        """Hold an exclusive lock until `unlock` or a crash."""
+        if path in self._locks:
+            raise OSError(errno.EAGAIN, "locked", path)
+        self._locks.add(path)
+
+    def unlock(self, path: str) -> None:
+        """Release a lock."""
+        self._locks.discard(path)
+
+    def list_names(self, folder: str) -> list[str]:
+        """Return the names of the files in a folder."""
+        prefix = folder + "/"
+        return sorted(path[len(prefix) :] for path in self._current if path.startswith(prefix))
+
+    def read(self, path: str) -> bytes:
+        """Return the content of a file."""
+        return bytes(self._node(path).data)
+
+    def open_append(self, path: str) -> AppendFile:
+        """Open a file for appending, and create it if needed."""
+        node = self._current.setdefault(path, _SimulatedNode())
+        return _SimulatedAppendFile(self, path, node)
+
+    def truncate(self, path: str, size_bytes: int) -> None:
+        """Cut a file to a size and sync it."""
+        node = self._node(path)
+        del node.data[size_bytes:]
+        self.check_sync(path, node)
+        node.durable = bytes(node.data)
+
+    def rename(self, source: str, target: str) -> None:
+        """Rename a file, replacing the target."""
+        node = self._node(source)
+        del self._current[source]
+        self._current[target] = node
+
+    def remove(self, path: str) -> None:
+        """Remove a file."""
+        self._node(path)
+        del self._current[path]
+
+    def sync_folder(self, folder: str) -> None:
+        """Make created, renamed and removed names durable."""
+        if self.sync_fails:
+            raise OSError(errno.EIO, "sync failed", folder)
+        prefix = folder + "/"
+        kept = {p: n for p, n in self._durable.items() if not p.startswith(prefix)}
+        kept.update({p: n for p, n in self._current.items() if p.startswith(prefix)})
+        self._durable = kept
+
+    def _node(self, path: str) -> _SimulatedNode:
+        node = self._current.get(path)
+        if node is None:
+            raise FileNotFoundError(errno.ENOENT, "no such file", path)
+        return node
--- /dev/null
+++ b/src/orchidpath/consensus/follower.py
@@ -0,0 +1,151 @@
+"""The follower's side of replication: appends and snapshots from a leader."""
+
+from orchidpath.consensus.effects import ApplySnapshot, PersistSnapshot
+from orchidpath.consensus.errors import ProtocolViolationError
+from orchidpath.consensus.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+)
+from orchidpath.consensus.replica import IncomingSnapshot, Replica
+from orchidpath.consensus.types import LogEntry, Role, Snapshot
+
+
+def on_append(replica: Replica, message: AppendEntries, now: float) -> None:
+    """Take entries from the leader; the answer leaves after they are durable."""
+    if message.term < replica.term:
+        # The answer's higher term tells a replaced leader to step down.
+        _refuse_append(replica, message, conflict_index=0, conflict_term=0)
+        return
+    _follow(replica, message.sender, message.term, now)
+    prev_index, entries = _skip_compacted(replica, message)
+    if prev_index > replica.log.last_index:
+        _refuse_append(replica, message, replica.log.last_index + 1, 0)
+        return
+    held_term = replica.log.term_at(prev_index)
+    if prev_index == message.prev_index and held_term != message.prev_term:
+        first = replica.log.first_index_of_term(prev_index)
+        _refuse_append(replica, message, first, held_term or 0)
+        return
+    _store(replica, entries)
+    match_index = message.prev_index + len(message.entries)
+    replica.commit_up_to(min(message.commit_index, max(match_index, prev_index)))
+    reply = AppendEntriesReply(
+        sender=replica.node_id,
+        term=replica.term,
+        success=True,
+        sent_at=message.sent_at,
+        prev_index=message.prev_index,
+        match_index=match_index,
+    )
+    replica.send(message.sender, reply)
+
+
+def _follow(replica: Replica, leader_id: str, term: int, now: float) -> None:
+    if term == replica.term and replica.role is Role.LEADER:
+        raise ProtocolViolationError(f"two leaders in term {term}: {leader_id}, {replica.node_id}")
+    if term > replica.term or leader_id != replica.leader_id:
+        replica.become_follower(term, leader_id)
+    replica.last_leader_contact = now
+    replica.arm_election(now)
+
+
+def _skip_compacted(replica: Replica, message: AppendEntries) -> tuple[int, list[LogEntry]]:
+    """Drop entries that the snapshot covers: they are committed, so both logs agree there."""
+    covered = replica.log.snapshot_index - message.prev_index
+    if covered <= 0:
+        return message.prev_index, message.entries
+    return replica.log.snapshot_index, message.entries[covered:]
+
+
+def _store(replica: Replica, entries: list[LogEntry]) -> None:
+    """Append what is new; drop own entries only where they contradict the leader's.
+
+    An append that arrives late or twice must not cut off entries that a newer one brought.
+    """
+    for position, entry in enumerate(entries):
+        held_term = replica.log.term_at(entry.index)
+        if held_term == entry.term:
+            continue
+        truncate_from = None
+        if held_term is not None:
+            if entry.index <= replica.commit_index:
+                raise ProtocolViolationError(f"leader contradicts committed entry {entry.index}")
+            truncate_from = entry.index
+        replica.append_entries(entries[position:], truncate_from)
+        replica.refresh_role()
+        return
+
+
+def _refuse_append(
+    replica: Replica, message: AppendEntries, conflict_index: int, conflict_term: int
+) -> None:
+    reply = AppendEntriesReply(
+        sender=replica.node_id,
+        term=replica.term,
+        success=False,
+        sent_at=message.sent_at,
+        prev_index=message.prev_index,
+        conflict_index=conflict_index,
+        conflict_term=conflict_term,
+    )
+    replica.send(message.sender, reply)
+
+
+def on_install_snapshot(replica: Replica, message: InstallSnapshot, now: float) -> None:
+    """Gather the chunks of a snapshot and install it when it is complete."""
+    if message.term < replica.term:
+        _reply_snapshot(replica, message, next_offset=0, installed=False)
+        return
+    _follow(replica, message.sender, message.term, now)
+    if message.last_index <= replica.commit_index:
+        _reply_snapshot(replica, message, next_offset=0, installed=True)
+        return
+    incoming = _incoming_for(replica, message)
+    if message.offset != len(incoming.data):
+        _reply_snapshot(replica, message, len(incoming.data), installed=False)
+        return
+    incoming.data.extend(message.data)
+    if not message.done:
+        _reply_snapshot(replica, message, len(incoming.data), installed=False)
+        return
+    _install(replica, message, bytes(incoming.data))
+    _reply_snapshot(replica, message, next_offset=0, installed=True)
+
+
+def _incoming_for(replica: Replica, message: InstallSnapshot) -> IncomingSnapshot:
+    """Return the gathered chunks.
+
+    They are dropped when the leader changes: two leaders may cut one state into other bytes.
+    """
+    incoming = replica.incoming_snapshot
+    wanted = (message.term, message.last_index, message.last_term)
+    if incoming is None or (incoming.term, incoming.last_index, incoming.last_term) != wanted:
+        incoming = IncomingSnapshot(*wanted, data=bytearray())
+        replica.incoming_snapshot = incoming
+    return incoming
+
+
+def _install(replica: Replica, message: InstallSnapshot, data: bytes) -> None:
+    snapshot = Snapshot(message.last_index, message.last_term, message.membership, data)
+    replica.incoming_snapshot = None
+    replica.log.install(snapshot)
+    replica.emit(PersistSnapshot(snapshot))
+    replica.emit(ApplySnapshot(snapshot))
+    replica.commit_index = snapshot.last_index
+    replica.refresh_role()
+
+
+def _reply_snapshot(
+    replica: Replica, message: InstallSnapshot, next_offset: int, installed: bool
+) -> None:
+    reply = InstallSnapshotReply(
+        sender=replica.node_id,
+        term=replica.term,
+        last_index=message.last_index,
+        next_offset=next_offset,
+        installed=installed,
+        sent_at=message.sent_at,
+    )
+    replica.send(message.sender, reply)
--- /dev/null
+++ b/src/orchidpath/consensus/log.py
@@ -0,0 +1,144 @@
+"""The replicated log in memory: the snapshot, the entries after it, the membership they define."""
+
+import msgspec
+
+from orchidpath.consensus.types import EntryKind, LogEntry, Membership, Snapshot
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return the payload of a membership entry."""
+    return msgspec.msgpack.encode(membership)
+
+
+def decode_membership(payload: bytes) -> Membership:
+    """Return the membership a membership entry carries."""
+    return msgspec.msgpack.decode(payload, type=Membership)
+
+
+class _MembershipAt(msgspec.Struct, frozen=True):
+    index: int
+    membership: Membership
+
+
+class ReplicaLog:
+    """The snapshot and all entries after it.
+
+    Parameters
+    ----------
+    snapshot
+        Newest snapshot, or None when the log still starts at its first entry.
+    entries
+        Entries that follow the snapshot without a gap.
+    """
+
+    def __init__(self, snapshot: Snapshot | None, entries: list[LogEntry]) -> None:
+        self.snapshot = snapshot
+        self._entries: list[LogEntry] = []
+        self._memberships: list[_MembershipAt] = []
+        self._reset_memberships()
+        self.append(entries)
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry that the snapshot covers, 0 without one."""
+        return self.snapshot.last_index if self.snapshot else 0
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.term_at(self.last_index) or 0
+
+    @property
+    def membership(self) -> Membership:
+        """Newest membership in the log, committed or not."""
+        return self._memberships[-1].membership
+
+    @property
+    def membership_index(self) -> int:
+        """Index of the entry that made the newest membership."""
+        return self._memberships[-1].index
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership in force after the entry at `index`."""
+        for change in reversed(self._memberships):
+            if change.index <= index:
+                return change.membership
+        return self._memberships[0].membership
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when the log doesn't hold it."""
+        if index == self.snapshot_index:
+            return self.snapshot.last_term if self.snapshot else 0
+        if self.snapshot_index < index <= self.last_index:
+            return self._entries[index - self.snapshot_index - 1].term
+        return None
+
+    def entries_between(self, first: int, last: int) -> list[LogEntry]:
+        """Return the entries from `first` to `last`, both included."""
+        offset = self.snapshot_index + 1
+        return self._entries[first - offset : last - offset + 1]
+
+    def batch_from(self, first: int, max_bytes: int, max_entries: int) -> list[LogEntry]:
+        """Return entries from `first` on within the limits, at least one if there is any."""
+        batch: list[LogEntry] = []
+        size_bytes = 0
+        last = min(self.last_index, first + max_entries - 1)
+        for position in range(first - self.snapshot_index - 1, last - self.snapshot_index):
+            entry = self._entries[position]
+            size_bytes += len(entry.payload)
+            if batch and size_bytes > max_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first held index whose entry has the same term as the one at `index`."""
+        term = self.term_at(index)
+        while index > self.snapshot_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def last_index_at_most_term(self, index: int, term: int) -> int:
+        """Return the last index up to `index` whose term is at most `term`."""
+        while index > self.snapshot_index and (self.term_at(index) or 0) > term:
+            index -= 1
+        return index
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+            self._entries.append(entry)
+            if entry.kind is EntryKind.MEMBERSHIP:
+                membership = decode_membership(entry.payload)
+                self._memberships.append(_MembershipAt(entry.index, membership))
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entries from `index` on, and the memberships they made."""
+        del self._entries[index - self.snapshot_index - 1 :]
+        while len(self._memberships) > 1 and self._memberships[-1].index >= index:
+            self._memberships.pop()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Take a newer snapshot.
+
+        Entries after it stay only if the log holds its last entry with the same term: then the
+        two logs agree up to there. Otherwise the rest of the log belongs to another history.
+        """
+        kept: list[LogEntry] = []
+        if self.term_at(snapshot.last_index) == snapshot.last_term:
+            kept = self.entries_between(snapshot.last_index + 1, self.last_index)
+        self.snapshot = snapshot
+        self._entries = []
+        self._reset_memberships()
+        self.append(kept)
+
+    def _reset_memberships(self) -> None:
+        membership = self.snapshot.membership if self.snapshot else Membership()
+        self._memberships = [_MembershipAt(self.snapshot_index, membership)]
--- /dev/null
+++ b/src/orchidpath/simulation/raft_faults.py
@@ -0,0 +1,78 @@
+"""Which faults and membership changes a seed brings upon a replica group."""
+
+import random as random_module
+
+import msgspec
+
+from orchidpath.consensus.types import Membership
+
+FIRST_VOTERS = 3
+
+
+class FaultPlan(msgspec.Struct, frozen=True):
+    """How badly the network of one seed behaves, and how often each fault strikes."""
+
+    loss: float
+    duplication: float
+    late: float
+    slow_delay_seconds: float
+    interval_seconds: float
+    proposal_interval_seconds: float
+    weights: dict[str, float]
+
+
+def draw_fault_plan(random: random_module.Random) -> FaultPlan:
+    """Draw a mix of faults; some seeds leave some faults out so that others get further."""
+    names = ("cut", "cut_one_way", "heal", "kill", "freeze", "slow_disk", "disk_error")
+    weights = {name: random.choice((0.0, 1.0, 4.0)) for name in names}
+    weights["heal"] = 1.0
+    weights["membership"] = random.choice((0.0, 2.0, 4.0))
+    weights["lose_disk"] = random.choice((0.0, 0.0, 1.0))
+    return FaultPlan(
+        loss=random.choice((0.0, 0.02, 0.15)),
+        duplication=random.choice((0.0, 0.05, 0.2)),
+        late=random.choice((0.0, 0.01, 0.05)),
+        slow_delay_seconds=random.choice((0.005, 0.02, 0.1)),
+        interval_seconds=random.choice((0.1, 0.3, 0.6)),
+        # Under steady load a replica that missed something can't be elected at all; with
+        # pauses, other rules than the one on logs have to prevent it.
+        proposal_interval_seconds=random.choice((0.03, 0.3, 1.0)),
+        weights=weights,
+    )
+
+
+def draw_membership(
+    current: Membership, identities: set[str], random: random_module.Random
+) -> Membership:
+    """Draw a change; removing a lost replica comes first, or the group could get stuck.
+
+    Now and then the change concerns several voters at once, which must be refused.
+
+    Parameters
+    ----------
+    current
+        Membership to change.
+    identities
+        Replicas that exist; a member that is not among them has lost its disk.
+    random
+        Source of the choice.
+    """
+    voters = list(current.voters)
+    learners = list(current.learners)
+    lost = [node for node in current.members() if node not in identities]
+    missing = [node for node in sorted(identities) if node not in current.members()]
+    if lost:
+        voters = [node for node in voters if node != lost[0]]
+        learners = [node for node in learners if node != lost[0]]
+    elif missing:
+        learners.append(missing[0])
+    elif learners and (len(voters) < FIRST_VOTERS or random.random() < 0.6):
+        promoted = random.sample(learners, random.randint(1, len(learners)))
+        voters += promoted
+        learners = [node for node in learners if node not in promoted]
+    elif len(voters) > FIRST_VOTERS:
+        removed = random.sample(voters, random.randint(1, len(voters) - FIRST_VOTERS))
+        voters = [node for node in voters if node not in removed]
+        learners += removed
+    members = (*voters, *learners)
+    return Membership(tuple(voters), tuple(learners), {node: node for node in members})
--- /dev/null
+++ b/src/orchidpath/simulation/raft_machine.py
@@ -0,0 +1,383 @@
+"""One simulated machine of a replica group: clock, disk, replica, and a shell in virtual time."""
+
+import random as random_module
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from orchidpath.consensus.core import RaftCore
+from orchidpath.consensus.effects import (
+    Apply,
+    ApplySnapshot,
+    Effect,
+    PersistEntries,
+    PersistHardState,
+    PersistSnapshot,
+    Send,
+)
+from orchidpath.consensus.errors import (
+    ConsensusError,
+    NotLeaderError,
+    StorageError,
+    StorageFailedError,
+    StorageFullError,
+)
+from orchidpath.consensus.files import SimulatedFiles
+from orchidpath.consensus.messages import RaftMessage, RequestVote, RequestVoteReply
+from orchidpath.consensus.storage import FileLogStorage
+from orchidpath.consensus.types import (
+    EntryKind,
+    Guard,
+    LogEntry,
+    Membership,
+    RaftSettings,
+    ReadTicket,
+    Role,
+    Snapshot,
+)
+from orchidpath.simulation.raft_checks import History, InvariantViolationError, next_digest
+
+FOLDER = "/data"
+MAX_CLOCK_RATE_ERROR = 0.02
+SNAPSHOT_PADDING_BYTES = 200
+
+PersistEffect = PersistHardState | PersistEntries | PersistSnapshot
+Event = Callable[[RaftCore, float], list[Effect]]
+
+
+class MachineState(msgspec.Struct, frozen=True):
+    """The simulated state machine, as its snapshots hold it."""
+
+    index: int
+    digest: int
+    padding: bytes
+
+
+class PendingRead(msgspec.Struct, frozen=True):
+    """A read under way, and the last index acknowledged before it began."""
+
+    ticket: ReadTicket
+    required_index: int
+
+
+class Network(Protocol):
+    """What a machine needs from its surroundings."""
+
+    time: float
+
+    def schedule(self, delay_seconds: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+
+    def transmit(self, sender: str, receiver: str, message: RaftMessage) -> None:
+        """Carry a message, or lose it."""
+
+
+class Machine:
+    """A machine that can be killed, frozen, slowed, and lose its disk."""
+
+    def __init__(
+        self,
+        name: str,
+        settings: RaftSettings,
+        network: Network,
+        history: History,
+        random: random_module.Random,
+        disabled_guards: frozenset[Guard],
+    ) -> None:
+        self.name = name
+        self.files = SimulatedFiles()
+        self.identity = ""
+        self.core: RaftCore | None = None
+        self.frozen = False
+        self.sync_seconds = 0.0
+        self.read_tickets: list[PendingRead] = []
+        self._settings = settings
+        self._network = network
+        self._history = history
+        self._random = random
+        self._disabled_guards = disabled_guards
+        self._clock_rate = 1 + random.uniform(-MAX_CLOCK_RATE_ERROR, MAX_CLOCK_RATE_ERROR)
+        self._clock_offset = random.uniform(0, 1000)
+        self._storage: FileLogStorage | None = None
+        self._inbox: deque[Event] = deque()
+        self._effects: deque[Effect] = deque()
+        self._syncing = False
+        self._incarnation = 0
+        self._identity_count = 0
+        self._applied_index = 0
+        self._digest = 0
+        self._proposed: dict[int, int] = {}
+        self._frozen_at = 0.0
+        self._tick_at = float("inf")
+
+    @property
+    def now(self) -> float:
+        """The machine's own clock, which runs a little fast or slow."""
+        return self._network.time * self._clock_rate + self._clock_offset
+
+    def start(self, bootstrap: Membership | None) -> None:
+        """Start the replica on what the disk holds; without an answering disk it stays down."""
+        self._incarnation += 1
+        self._storage = FileLogStorage(FOLDER, self.files, self._new_identity)
+        try:
+            restored = self._storage.load()
+        except (StorageFailedError, StorageFullError):
+            self._storage.close()
+            return
+        self.identity = self._storage.identity
+        self._effects.clear()
+        self._inbox.clear()
+        self.read_tickets.clear()
+        self._proposed.clear()
+        self._syncing = False
+        self.frozen = False
+        self._applied_index = 0
+        self._digest = 0
+        if bootstrap is not None and self.identity not in bootstrap.voters:
+            bootstrap = None
+        seed = random_module.Random(self._random.random())
+        self.core = RaftCore(
+            self.identity,
+            self._settings,
+            restored,
+            bootstrap,
+            self.now,
+            seed,
+            self._disabled_guards,
+        )
+        self._handle(lambda core, now: core.tick(now))
+
+    def _new_identity(self) -> str:
+        self._identity_count += 1
+        return f"{self.name}-{self._identity_count}"
+
+    def kill(self) -> None:
+        """Stop at once; unsynced writes are lost, the last one perhaps in part."""
+        if self.core is None:
+            return
+        if self._syncing:
+            self._write_without_sync()
+        self.core = None
+        self._incarnation += 1
+        self.files.sync_fails = False
+        self.files.crash(self._random)
+
+    def _write_without_sync(self) -> None:
+        self.files.sync_fails = True
+        try:
+            self._persist(self._effects[0])
+        except StorageError:
+            return
+
+    def speed_disk_up(self) -> None:
+        """Let syncs return at once again."""
+        self.sync_seconds = 0.0
+
+    def lose_disk(self) -> None:
+        """Empty the data folder; the running replica finds out at its next sync."""
+        self.files.vanish(FOLDER)
+
+    def freeze(self, duration_seconds: float) -> None:
+        """Stop executing for a while; messages wait, the clock runs on."""
+        if self.core is None or self.frozen:
+            return
+        self.frozen = True
+        self._frozen_at = self.now
+        incarnation = self._incarnation
+        self._network.schedule(duration_seconds, lambda: self._wake(incarnation))
+
+    def _wake(self, incarnation: int) -> None:
+        if incarnation != self._incarnation or self.core is None:
+            return
+        self.frozen = False
+        self._check_wake(self.core)
+        while self._inbox and self.core is not None:
+            self._handle(self._inbox.popleft())
+        self._schedule_tick()
+        self._drain()
+
+    def _check_wake(self, core: RaftCore) -> None:
+        """Check that a leader that slept longer than its lease takes no proposal."""
+        slept_seconds = self.now - self._frozen_at
+        leads_others = core.role is Role.LEADER and core.membership.voters != (self.identity,)
+        if not leads_others or slept_seconds <= self._settings.leader_lease_seconds:
+            return
+        try:
+            core.propose([b"after a freeze"], self.now)
+        except NotLeaderError:
+            return
+        raise InvariantViolationError(f"{self.identity} took a proposal after a freeze")
+
+    def deliver(self, message: RaftMessage) -> None:
+        """Take a message from the network."""
+        self.submit(lambda core, now: core.receive(message, now))
+
+    def submit(self, event: Event) -> None:
+        """Run an event on the replica, now or when the machine wakes."""
+        if self.core is None:
+            return
+        if self.frozen:
+            self._inbox.append(event)
+            return
+        self._handle(event)
+
+    def _handle(self, event: Event) -> None:
+        core = self.core
+        if core is None:
+            return
+        self._effects.extend(event(core, self.now))
+        if core.role is Role.LEADER:
+            self._history.note_leader(core.term, self.identity)
+        self._poll_reads(core)
+        self._schedule_tick()
+        self._drain()
+
+    def propose(self, payload: bytes) -> None:
+        """Propose a command as a caller would, and remember it for its acknowledgement."""
+        self.submit(lambda core, now: self._propose(core, payload, now))
+
+    def _propose(self, core: RaftCore, payload: bytes, now: float) -> list[Effect]:
+        try:
+            indexes, effects = core.propose([payload], now)
+        except NotLeaderError:
+            return []
+        self._proposed[indexes[0]] = core.term
+        return effects
+
+    def start_read(self) -> None:
+        """Begin a read without the lease, as a caller would."""
+        self.submit(self._start_read)
+
+    def _start_read(self, core: RaftCore, now: float) -> list[Effect]:
+        try:
+            ticket = core.read_barrier(now)
+        except NotLeaderError:
+            return []
+        self.read_tickets.append(PendingRead(ticket, self._history.acknowledged_index))
+        return []
+
+    def _poll_reads(self, core: RaftCore) -> None:
+        waiting: list[PendingRead] = []
+        for read in self.read_tickets:
+            try:
+                ready = core.read_is_ready(read.ticket, self.now)
+            except NotLeaderError:
+                continue
+            if ready:
+                self._history.check_read(self.identity, core.commit_index, read.required_index)
+            else:
+                waiting.append(read)
+        self.read_tickets = waiting
+
+    def _schedule_tick(self) -> None:
+        """Keep one timer; it looks at the deadline anew when it fires."""
+        if self.core is None:
+            return
+        wait_seconds = max(0.0, self.core.next_deadline(self.now) - self.now) / self._clock_rate
+        tick_at = self._network.time + wait_seconds + 1e-6
+        if tick_at >= self._tick_at > self._network.time:
+            return
+        self._tick_at = tick_at
+        self._network.schedule(wait_seconds + 1e-6, lambda: self._tick(tick_at))
+
+    def _tick(self, tick_at: float) -> None:
+        if tick_at != self._tick_at:
+            return
+        self._tick_at = float("inf")
+        if not self.frozen:
+            self._handle(lambda core, now: core.tick(now))
+
+    def _drain(self) -> None:
+        """Execute effects in order; nothing passes a sync that has not returned."""
+        while self._effects and not self._syncing and not self.frozen and self.core is not None:
+            effect = self._effects[0]
+            if isinstance(effect, PersistEffect) and self.sync_seconds > 0:
+                self._begin_slow_sync()
+                return
+            self._execute_first()
+
+    def _begin_slow_sync(self) -> None:
+        self._syncing = True
+        incarnation = self._incarnation
+        delay_seconds = self._random.uniform(0, self.sync_seconds)
+        self._network.schedule(delay_seconds, lambda: self._finish_sync(incarnation))
+
+    def _finish_sync(self, incarnation: int) -> None:
+        if incarnation != self._incarnation:
+            return
+        if self.frozen:
+            self._network.schedule(0.05, lambda: self._finish_sync(incarnation))
+            return
+        self._syncing = False
+        self._execute_first()
+        self._drain()
+
+    def _execute_first(self) -> None:
+        effect = self._effects[0]
+        try:
+            self._execute(effect)
+        except StorageError:
+            # The replica stops for good: its memory is ahead of its disk.
+            self._syncing = False
+            self.kill()
+            return
+        self._effects.popleft()
+
+    def _execute(self, effect: Effect) -> None:
+        if isinstance(effect, PersistEffect):
+            self._persist(effect)
+        elif isinstance(effect, Send):
+            self._send(effect)
+        elif isinstance(effect, Apply):
+            self._apply(effect.entry)
+        elif isinstance(effect, ApplySnapshot):
+            self._apply_snapshot(effect.snapshot)
+
+    def _persist(self, effect: Effect) -> None:
+        if self._storage is None:
+            raise ConsensusError("not started")
+        if isinstance(effect, PersistHardState):
+            self._storage.persist_hard_state(effect.hard_state)
+        elif isinstance(effect, PersistEntries):
+            self._storage.persist_entries(effect.truncate_from, effect.entries)
+        elif isinstance(effect, PersistSnapshot):
+            self._storage.persist_snapshot(effect.snapshot)
+
+    def _send(self, effect: Send) -> None:
+        message = effect.message
+        if isinstance(message, RequestVote) and not message.pre_vote:
+            self._history.note_vote(message.term, self.identity, self.identity)
+        if isinstance(message, RequestVoteReply) and message.granted and not message.pre_vote:
+            self._history.note_vote(message.term, self.identity, effect.to)
+        self._network.transmit(self.identity, effect.to, message)
+
+    def _apply(self, entry: LogEntry) -> None:
+        if entry.index != self._applied_index + 1:
+            raise InvariantViolationError(f"{self.identity} applied {entry.index} out of order")
+        self._applied_index = entry.index
+        self._digest = next_digest(self._digest, entry)
+        self._history.note_state(self.identity, entry.index, self._digest)
+        if self._proposed.pop(entry.index, None) == entry.term and entry.kind is EntryKind.COMMAND:
+            self._history.note_acknowledged(entry.index)
+        self._maybe_compact()
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        state = msgspec.msgpack.decode(snapshot.data, type=MachineState)
+        if state.index != snapshot.last_index or state.index < self._applied_index:
+            raise InvariantViolationError(f"{self.identity} took a wrong snapshot")
+        self._applied_index = state.index
+        self._digest = state.digest
+        self._history.note_state(self.identity, state.index, state.digest)
+
+    def _maybe_compact(self) -> None:
+        core = self.core
+        if core is None or not core.compaction_due():
+            return
+        if self._applied_index <= core.snapshot_index:
+            return
+        padding = bytes(SNAPSHOT_PADDING_BYTES)
+        state = MachineState(self._applied_index, self._digest, padding)
+        data = msgspec.msgpack.encode(state)
+        self._effects.extend(core.compact(data, self._applied_index, self.now))
