Circuits: classification, breaker, health, in-flight, capacity, throttle, fallback

Cause: the ordinary path is settled by the users' design. Change: every rule of it as a pure module.

--- /dev/null
+++ b/src/orchidpath/circuit/counters.py
@@ -0,0 +1,289 @@
+"""Circuits, counters and capacity circuits read together: what both kinds of decision share.
+
+The leader's table decides with the agreed circuits and the routers' fallback with the last known
+ones; reading candidates, registering attempts and counting their ends is the same for both.
+"""
+
+import math
+from collections.abc import Sequence
+
+from orchidpath.circuit.breaker import BreakerEvent
+from orchidpath.circuit.capacity import CapacityCircuits
+from orchidpath.circuit.decisions import WorkerCircuitView
+from orchidpath.circuit.in_flight import Registration
+from orchidpath.circuit.ledger import AttemptLedger
+from orchidpath.circuit.roster import CircuitRoster, TrackedWorker
+from orchidpath.circuit.selection import Candidate, LegCandidates, Selection
+from orchidpath.circuit.worker_circuit import Admission, AttemptOutcome
+from orchidpath.wire.configuration import CircuitPolicy
+from orchidpath.wire.messages import (
+    AttemptReport,
+    CandidateState,
+    Choice,
+    DecisionReply,
+    DecisionRequest,
+    Denial,
+    Leg,
+)
+from orchidpath.wire.records import CircuitStatus
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class CircuitCounters:
+    """Everything a decision reads and every count that an attempt's end changes.
+
+    Parameters
+    ----------
+    policy
+        Figures of the circuits.
+    """
+
+    def __init__(self, policy: CircuitPolicy) -> None:
+        self.policy = policy
+        self.roster = CircuitRoster(policy.health_window_seconds)
+        self.ledger = AttemptLedger(policy)
+        self.capacities = CapacityCircuits()
+
+    def set_policy(self, policy: CircuitPolicy) -> None:
+        """Take new figures; running timers keep theirs.
+
+        Parameters
+        ----------
+        policy
+            Figures of the circuits.
+        """
+        self.policy = policy
+        self.ledger.in_flight.ttl_seconds = policy.in_flight_ttl_seconds
+        self.roster.set_health_window(policy.health_window_seconds)
+
+    def repeated(self, request: DecisionRequest, term: int) -> DecisionReply | None:
+        """Answer a duplicate without registering the attempt a second time.
+
+        Parameters
+        ----------
+        request
+            The request.
+        term
+            Term of the reply.
+
+        Returns
+        -------
+        DecisionReply | None
+            The same choices while the attempt is in flight, none once it has ended, and None
+            when the attempt is new.
+        """
+        choices = self.ledger.in_flight.choices(request.attempt_id)
+        is_over = not choices and self.ledger.has_ended(request.attempt_id)
+        if not choices and not is_over:
+            return None
+        return DecisionReply(
+            correlation=request.correlation,
+            term=term,
+            choices=choices,
+            denial=Denial.EXHAUSTED if is_over else Denial.NONE,
+        )
+
+    def read_leg(self, leg: Leg, attempt_id: str, now: float) -> LegCandidates:
+        """Read the candidates of one leg that are in the roster and take new requests.
+
+        Parameters
+        ----------
+        leg
+            Candidates in preference order.
+        attempt_id
+            The asking attempt.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        LegCandidates
+            The candidates as they are now.
+        """
+        tried = frozenset(leg.tried)
+        candidates: list[Candidate] = []
+        for worker_id in leg.candidates:
+            worker = self.roster.get(worker_id)
+            if worker is None or not worker.eligible:
+                continue
+            candidate = Candidate(
+                worker_id=worker_id,
+                admission=worker.circuit.admission(attempt_id, now),
+                tried=worker_id in tried,
+                in_flight=self.ledger.in_flight.count(worker_id),
+                circuit_wait_seconds=worker.circuit.wait_seconds(now),
+                capacity_wait_seconds=self.capacities.wait_seconds(worker.domain, now),
+            )
+            candidates.append(candidate)
+        return LegCandidates(leg.stage, tuple(candidates))
+
+    def register(
+        self, request: DecisionRequest, selection: Selection, now: float
+    ) -> tuple[Choice, ...]:
+        """Register an attempt in flight on every chosen worker.
+
+        Parameters
+        ----------
+        request
+            The request.
+        selection
+            Its choices; a denial registers nothing.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        tuple[Choice, ...]
+            The choices to reply with.
+        """
+        choices: list[Choice] = []
+        registrations: list[Registration] = []
+        for chosen in selection.choices:
+            worker_id = chosen.candidate.worker_id
+            generation = self.generation(worker_id)
+            is_probe = chosen.candidate.admission is Admission.PROBE_OWNED
+            choice = Choice(
+                stage=chosen.stage,
+                worker_id=worker_id,
+                probe_generation=generation if is_probe else None,
+            )
+            choices.append(choice)
+            registrations.append(Registration(worker_id=worker_id, generation=generation))
+        if choices:
+            self.ledger.in_flight.register(
+                request.request_id,
+                request.attempt_id,
+                registrations,
+                now,
+                choices=tuple(choices),
+            )
+        return tuple(choices)
+
+    def generation(self, worker_id: str) -> int | None:
+        """Return the generation of a worker's circuit.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        int | None
+            None when the worker isn't known.
+        """
+        worker = self.roster.get(worker_id)
+        return worker.circuit.record.generation if worker is not None else None
+
+    def count(
+        self, report: AttemptReport, now: float, *, probe_generation: int | None
+    ) -> BreakerEvent | None:
+        """Count how an attempt ended on a worker, once.
+
+        Parameters
+        ----------
+        report
+            The report; a repeated one changes nothing.
+        now
+            Monotonic time in seconds.
+        probe_generation
+            The fencing number under which the attempt owned the worker's probe.
+
+        Returns
+        -------
+        BreakerEvent | None
+            What it does to the worker's circuit.
+        """
+        if not self.ledger.end(report):
+            return None
+        registration = self.ledger.release(report)
+        worker = self.roster.get(report.worker_id)
+        if worker is None:
+            return None
+        worker.health.record(report.effect, now)
+        begun_generation = registration.generation if registration is not None else None
+        if begun_generation is None:
+            # Begun under an earlier leader: the fencing number, if any, still dates it.
+            begun_generation = report.probe_generation
+        outcome = AttemptOutcome(
+            attempt_id=report.attempt_id,
+            effect=report.effect,
+            probe_generation=probe_generation,
+            begun_generation=begun_generation,
+            charged_before=self.ledger.is_charged(report),
+        )
+        failures_before = worker.circuit.transient_failures
+        event = worker.circuit.judge(outcome, self.policy.allowed_fails, now)
+        if worker.circuit.transient_failures > failures_before:
+            self.ledger.charge(report)
+        return event
+
+    def states(self, legs: Sequence[LegCandidates], now: float) -> tuple[CandidateState, ...]:
+        """Return the candidates as they were read, for the reply.
+
+        Parameters
+        ----------
+        legs
+            The candidates read.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        tuple[CandidateState, ...]
+            In the order of legs and candidates.
+        """
+        states: list[CandidateState] = []
+        for leg in legs:
+            for candidate in leg.candidates:
+                worker = self.roster.get(candidate.worker_id)
+                if worker is not None:
+                    states.append(self._state(worker, candidate, now))
+        return tuple(states)
+
+    def view(self, worker: TrackedWorker, now: float) -> WorkerCircuitView:
+        """Return a worker's circuit for operators.
+
+        Parameters
+        ----------
+        worker
+            The worker.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        WorkerCircuitView
+            The view.
+        """
+        record = worker.circuit.record
+        capacity_wait_seconds = self.capacities.wait_seconds(worker.domain, now)
+        wait_seconds = max(worker.circuit.wait_seconds(now), capacity_wait_seconds)
+        return WorkerCircuitView(
+            worker_id=record.worker_id,
+            status=_status(worker, capacity_wait_seconds, now),
+            retry_after_ms=math.ceil(wait_seconds * MILLISECONDS_PER_SECOND),
+            health=worker.health.score(now),
+            in_flight=self.ledger.in_flight.count(record.worker_id),
+            transient_failures=worker.circuit.transient_failures,
+            generation=record.generation,
+            probe_owner=record.probe_owner,
+        )
+
+    def _state(self, worker: TrackedWorker, candidate: Candidate, now: float) -> CandidateState:
+        wait_seconds = max(candidate.circuit_wait_seconds, candidate.capacity_wait_seconds)
+        return CandidateState(
+            worker_id=candidate.worker_id,
+            status=_status(worker, candidate.capacity_wait_seconds, now).value,
+            health=worker.health.score(now),
+            in_flight=candidate.in_flight,
+            retry_after_seconds=wait_seconds,
+        )
+
+
+def _status(worker: TrackedWorker, capacity_wait_seconds: float, now: float) -> CircuitStatus:
+    status = worker.circuit.status(now)
+    if status is CircuitStatus.AVAILABLE and capacity_wait_seconds > 0:
+        return CircuitStatus.RATE_LIMITED
+    return status
--- /dev/null
+++ b/src/orchidpath/circuit/fallback.py
@@ -0,0 +1,374 @@
+"""Decisions of a router while the control tier is slow or lost.
+
+A router asks the leader for every decision and waits a bounded time. Without an answer it decides
+here, from the circuits that it was last told and from its own observations: attempts that it
+began itself, failures that it counted itself, throttles that it derived itself. Its own circuits
+open by the same table of transitions as the agreed ones, and a newer agreed circuit replaces what
+the router had made of it.
+
+One rule of the ordinary path doesn't hold here, and this is the exception in full. The ordinary
+path gives a worker's recovery probe to one request of the whole fleet. Cut off from the tier that
+grants it, a router lets a probe of its own through, or a worker that has recovered would stay
+unused for as long as the tier is lost. The exception is bounded: at most one probe for each
+worker in flight from each router, and only after a cooldown of the router's own, of at least
+``cooldown_seconds``, stretched by a random share of up to ``PROBE_JITTER`` so that the routers'
+probes don't arrive together. A local probe carries no fencing number, so that its report can
+close or reopen nothing at the leader.
+
+When the leader's reply arrives after the router has decided here, the router reports each worker
+of that late reply that it did not use with the effect ``GATEWAY`` and the reply's probe
+generation: that frees the in-flight mark and gives a granted probe back.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from orchidpath.circuit.breaker import BreakerEvent
+from orchidpath.circuit.counters import CircuitCounters
+from orchidpath.circuit.health import HEALTH_LOWERING_EFFECTS
+from orchidpath.circuit.in_flight import Registration
+from orchidpath.circuit.roster import TrackedWorker
+from orchidpath.circuit.selection import (
+    DEFAULT_LOAD_BOUND_FACTOR,
+    Candidate,
+    LegCandidates,
+    Selection,
+    select,
+)
+from orchidpath.circuit.transitions import apply_circuit_transition
+from orchidpath.circuit.worker_circuit import Admission
+from orchidpath.wire.configuration import CircuitPolicy
+from orchidpath.wire.messages import (
+    AttemptEffect,
+    AttemptReport,
+    CapacityObserved,
+    Choice,
+    CircuitsView,
+    CounterReport,
+    DecisionReply,
+    DecisionRequest,
+    WorkerTally,
+)
+from orchidpath.wire.records import CircuitRecord, CircuitStatus, WorkerRecord
+
+PROBE_JITTER = 1.0
+"""A router's own cooldown is stretched by a random share of up to this."""
+
+
+class OwnProbe(msgspec.Struct, frozen=True):
+    """A probe that an attempt of this router runs, and the generation that it was granted."""
+
+    attempt_id: str
+    generation: int
+
+
+class FallbackCircuits:
+    """Last known circuits and a router's own observations.
+
+    Parameters
+    ----------
+    policy
+        Figures of the circuits.
+    generator
+        Source of the jitter.
+    load_bound_factor
+        Factor of the load bound, here on the router's own attempts in flight.
+    """
+
+    def __init__(
+        self,
+        policy: CircuitPolicy,
+        generator: random.Random,
+        *,
+        load_bound_factor: float = DEFAULT_LOAD_BOUND_FACTOR,
+    ) -> None:
+        self._generator = generator
+        self._load_bound_factor = load_bound_factor
+        self._counters = CircuitCounters(policy)
+        self._newest_view = (-1, -1)
+        self._agreed_generations: dict[str, int] = {}
+        self._own_probes: dict[str, OwnProbe] = {}
+
+    def set_policy(
+        self, policy: CircuitPolicy, load_bound_factor: float = DEFAULT_LOAD_BOUND_FACTOR
+    ) -> None:
+        """Take new figures; running timers keep theirs.
+
+        Parameters
+        ----------
+        policy
+            Figures of the circuits.
+        load_bound_factor
+            Factor of the load bound.
+        """
+        self._counters.set_policy(policy)
+        self._load_bound_factor = load_bound_factor
+
+    def set_workers(self, workers: Iterable[WorkerRecord]) -> None:
+        """Take the roster, whole; see :meth:`CircuitTable.set_workers`.
+
+        Parameters
+        ----------
+        workers
+            Every worker of the fleet.
+        """
+        for worker_id in self._counters.roster.set_workers(workers):
+            self._counters.ledger.retire_worker(worker_id)
+
+    def take_view(self, view: CircuitsView, now: float) -> bool:
+        """Take the agreed circuits as the leader pushed them.
+
+        Parameters
+        ----------
+        view
+            Circuits with what remained of their durations.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            False when a view as new has been taken before; nothing changes then.
+        """
+        if (view.term, view.sequence) <= self._newest_view:
+            return False
+        self._newest_view = (view.term, view.sequence)
+        for record in view.circuits:
+            self._adopt(record, now)
+        for capacity in view.capacities:
+            self._counters.capacities.take(capacity, now)
+        return True
+
+    def decide(self, request: DecisionRequest, now: float) -> DecisionReply:
+        """Decide one attempt without the control tier, and register it in flight.
+
+        Parameters
+        ----------
+        request
+            The request that the leader did not answer.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        DecisionReply
+            Choices or a denial; no choice carries a probe generation.
+        """
+        self._counters.ledger.advance(now)
+        term = max(self._newest_view[0], 0)
+        repeated = self._counters.repeated(request, term)
+        if repeated is not None:
+            return _without_probes(repeated)
+        legs, selection = self._select(request, now)
+        if self._grant_probes(request.attempt_id, selection, now):
+            legs, selection = self._select(request, now)
+        choices = self._counters.register(request, selection, now)
+        reply = DecisionReply(
+            correlation=request.correlation,
+            term=term,
+            choices=choices,
+            denial=selection.denial,
+            retry_after_seconds=selection.retry_after_seconds,
+            states=self._counters.states(legs, now),
+        )
+        return _without_probes(reply)
+
+    def begin(
+        self, request_id: str, attempt_id: str, choices: Sequence[Choice], now: float
+    ) -> None:
+        """Note an attempt that the leader decided.
+
+        Parameters
+        ----------
+        request_id
+            Request of the attempt.
+        attempt_id
+            The attempt.
+        choices
+            The leader's choices.
+        now
+            Monotonic time in seconds.
+        """
+        self._counters.ledger.advance(now)
+        registrations = [
+            Registration(
+                worker_id=choice.worker_id,
+                generation=self._counters.generation(choice.worker_id),
+            )
+            for choice in choices
+        ]
+        self._counters.ledger.in_flight.register(
+            request_id, attempt_id, registrations, now, choices=tuple(choices)
+        )
+        for choice in choices:
+            if choice.probe_generation is not None:
+                probe = OwnProbe(attempt_id, choice.probe_generation)
+                self._own_probes[choice.worker_id] = probe
+
+    def observe(self, reports: Sequence[AttemptReport], now: float) -> None:
+        """Count the ends of the router's own attempts, whoever decided them.
+
+        Parameters
+        ----------
+        reports
+            The same reports that go to the leader.
+        now
+            Monotonic time in seconds.
+        """
+        self._counters.ledger.advance(now)
+        for report in reports:
+            generation = self._end_probe(report)
+            event = self._counters.count(report, now, probe_generation=generation)
+            if event is not None:
+                self._change(report.worker_id, event, now)
+
+    def observe_capacity(self, observed: CapacityObserved, now: float) -> None:
+        """Obey a throttle that the router derived itself, before it is agreed.
+
+        Parameters
+        ----------
+        observed
+            The domain and the time after which it may be tried.
+        now
+            Monotonic time in seconds.
+        """
+        longest = self._counters.policy.max_cooldown_seconds
+        retry_after_seconds = min(observed.retry_after_seconds, longest)
+        self._counters.capacities.extend_locally(observed.failure_domain, retry_after_seconds, now)
+
+    def counter_report(
+        self, term: int, now: float, unacknowledged: Sequence[AttemptReport] = ()
+    ) -> CounterReport:
+        """Return the router's own counters for a new leader.
+
+        Parameters
+        ----------
+        term
+            The leader's term.
+        now
+            Monotonic time in seconds.
+        unacknowledged
+            Reports that will still be sent: they are left out, or they would count twice.
+
+        Returns
+        -------
+        CounterReport
+            Attempts in flight and a tally for each worker.
+        """
+        self._counters.ledger.advance(now)
+        pending = Counter((report.worker_id, report.effect) for report in unacknowledged)
+        return CounterReport(
+            term=term,
+            in_flight=self._counters.ledger.in_flight.marks(now),
+            tallies=tuple(self._tally(w, pending, now) for w in self._counters.roster),
+        )
+
+    def _select(
+        self, request: DecisionRequest, now: float
+    ) -> tuple[list[LegCandidates], Selection]:
+        legs = [
+            self._bound_probes(self._counters.read_leg(leg, request.attempt_id, now))
+            for leg in request.legs
+        ]
+        return legs, select(legs, self._load_bound_factor)
+
+    def _bound_probes(self, leg: LegCandidates) -> LegCandidates:
+        candidates = tuple(self._bound_probe(candidate) for candidate in leg.candidates)
+        return LegCandidates(leg.stage, candidates)
+
+    def _bound_probe(self, candidate: Candidate) -> Candidate:
+        """Block a worker whose last probe of this router is still in flight."""
+        probe = self._own_probes.get(candidate.worker_id)
+        if probe is None or candidate.admission is not Admission.PROBE_READY:
+            return candidate
+        in_flight = self._counters.ledger.in_flight
+        if not in_flight.occupies(probe.attempt_id, candidate.worker_id):
+            return candidate
+        return msgspec.structs.replace(
+            candidate,
+            admission=Admission.BLOCKED,
+            circuit_wait_seconds=self._counters.policy.cooldown_seconds,
+        )
+
+    def _grant_probes(self, attempt_id: str, selection: Selection, now: float) -> bool:
+        """Grant the probes that the selection needs; there is nobody else to ask."""
+        granted = False
+        for choice in selection.choices:
+            worker_id = choice.candidate.worker_id
+            if choice.candidate.admission is not Admission.PROBE_READY:
+                continue
+            self._change(worker_id, BreakerEvent.PROBE_GRANTED, now, attempt_id)
+            generation = self._counters.generation(worker_id)
+            if generation is not None:
+                self._own_probes[worker_id] = OwnProbe(attempt_id, generation)
+            granted = True
+        return granted
+
+    def _end_probe(self, report: AttemptReport) -> int | None:
+        """Return the generation of the probe that this report ends, if it ends one."""
+        probe = self._own_probes.get(report.worker_id)
+        if probe is None or probe.attempt_id != report.attempt_id:
+            return report.probe_generation
+        del self._own_probes[report.worker_id]
+        return probe.generation
+
+    def _adopt(self, record: CircuitRecord, now: float) -> None:
+        """Take an agreed circuit, unless it is the one that local changes were made on."""
+        if self._agreed_generations.get(record.worker_id) == record.generation:
+            return
+        self._agreed_generations[record.worker_id] = record.generation
+        is_closed = record.status is CircuitStatus.AVAILABLE
+        duration_seconds = 0.0 if is_closed else self._own_cooldown(record.duration_seconds)
+        stretched = msgspec.structs.replace(record, duration_seconds=duration_seconds)
+        self._counters.roster.circuit(record.worker_id).replace(stretched, now)
+
+    def _own_cooldown(self, duration_seconds: float) -> float:
+        shortest = self._counters.policy.cooldown_seconds
+        stretch = 1.0 + self._generator.uniform(0.0, PROBE_JITTER)
+        return max(duration_seconds, shortest) * stretch
+
+    def _change(
+        self, worker_id: str, event: BreakerEvent, now: float, attempt_id: str = ""
+    ) -> None:
+        """Make a transition of the router's own; nothing else decides on this circuit here."""
+        worker = self._counters.roster.get(worker_id)
+        if worker is None:
+            return
+        circuit = worker.circuit
+        policy = self._counters.policy
+        transition = circuit.propose(event, policy, self._generator, attempt_id)
+        if transition is None:
+            return
+        record = apply_circuit_transition(circuit.record, transition)
+        if record.status in {CircuitStatus.COOLDOWN, CircuitStatus.QUARANTINED}:
+            duration_seconds = self._own_cooldown(record.duration_seconds)
+            record = msgspec.structs.replace(record, duration_seconds=duration_seconds)
+        circuit.take(record, now)
+
+    def _tally(
+        self,
+        worker: TrackedWorker,
+        pending: Counter[tuple[str, AttemptEffect]],
+        now: float,
+    ) -> WorkerTally:
+        worker_id = worker.circuit.record.worker_id
+        counts = worker.health.counts(now)
+        pending_failures = sum(pending[worker_id, effect] for effect in HEALTH_LOWERING_EFFECTS)
+        pending_transients = pending[worker_id, AttemptEffect.TRANSIENT]
+        return WorkerTally(
+            worker_id=worker_id,
+            successes=max(0, counts.successes - pending[worker_id, AttemptEffect.SUCCESS]),
+            failures=max(0, counts.failures - pending_failures),
+            consecutive_transients=max(0, worker.circuit.transient_failures - pending_transients),
+        )
+
+
+def _without_probes(reply: DecisionReply) -> DecisionReply:
+    """Return the reply without fencing numbers: a local one means nothing to the leader."""
+    choices = tuple(
+        msgspec.structs.replace(choice, probe_generation=None) for choice in reply.choices
+    )
+    return msgspec.structs.replace(reply, choices=choices)
--- /dev/null
+++ b/src/orchidpath/circuit/in_flight.py
@@ -0,0 +1,254 @@
+"""Register of attempts in flight, keyed by attempt id, with a time to live.
+
+Paper, "How each metric is measured": the in-flight count is kept with a TTL, so that a router
+that crashed leaks no busy mark. Registration is idempotent by attempt id: a duplicated decision
+request counts once and does not renew the time to live.
+"""
+
+import heapq
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.wire.messages import Choice, InFlightMark
+
+
+class Registration(msgspec.Struct, frozen=True, kw_only=True):
+    """One worker's part in an attempt, with the circuit generation that it was begun on.
+
+    ``generation`` is None when the attempt was begun elsewhere and the generation isn't known.
+    """
+
+    worker_id: str
+    generation: int | None = None
+
+
+class _Attempt:
+    """One attempt and the workers that it still occupies."""
+
+    __slots__ = ("begun_at", "choices", "deadline", "registrations", "request_id")
+
+    def __init__(self, request_id: str, begun_at: float, deadline: float) -> None:
+        self.request_id = request_id
+        self.begun_at = begun_at
+        self.deadline = deadline
+        self.choices: tuple[Choice, ...] = ()
+        self.registrations: dict[str, Registration] = {}
+
+
+class InFlightRegister:
+    """Counts attempts in flight on every worker.
+
+    Parameters
+    ----------
+    ttl_seconds
+        An attempt that nobody reported for this long is forgotten.
+    """
+
+    def __init__(self, ttl_seconds: float) -> None:
+        self.ttl_seconds = ttl_seconds
+        self._attempts: dict[str, _Attempt] = {}
+        self._counts: dict[str, int] = {}
+        self._expiry_queue: list[tuple[float, str]] = []
+
+    def register(
+        self,
+        request_id: str,
+        attempt_id: str,
+        registrations: Sequence[Registration],
+        now: float,
+        *,
+        choices: tuple[Choice, ...] = (),
+        age_seconds: float = 0.0,
+    ) -> None:
+        """Mark workers as occupied by an attempt; a worker already marked by it stays as it is.
+
+        Parameters
+        ----------
+        request_id
+            Request of the attempt.
+        attempt_id
+            The attempt; it counts once on each worker.
+        registrations
+            The workers that it occupies.
+        now
+            Monotonic time in seconds.
+        choices
+            The decision, kept to answer a duplicated request alike.
+        age_seconds
+            How long ago the attempt began; it shortens what is left of the time to live.
+        """
+        begun_at = now - age_seconds
+        deadline = begun_at + self.ttl_seconds
+        if deadline <= now:
+            return
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            attempt = _Attempt(request_id, begun_at, deadline)
+            self._attempts[attempt_id] = attempt
+            heapq.heappush(self._expiry_queue, (deadline, attempt_id))
+        if choices:
+            attempt.choices = choices
+        for registration in registrations:
+            self._mark(attempt, registration)
+
+    def release(self, attempt_id: str, worker_id: str, now: float) -> Registration | None:
+        """Free one worker of an attempt.
+
+        Parameters
+        ----------
+        attempt_id
+            The attempt.
+        worker_id
+            The worker.
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Registration | None
+            What was registered; None when there was nothing or it has expired.
+        """
+        self.expire(now)
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return None
+        registration = attempt.registrations.pop(worker_id, None)
+        if registration is not None:
+            self._discount(worker_id)
+        if not attempt.registrations:
+            del self._attempts[attempt_id]
+        return registration
+
+    def count(self, worker_id: str) -> int:
+        """Return the attempts in flight on a worker, as of the last :meth:`expire`.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        int
+            Attempts in flight.
+        """
+        return self._counts.get(worker_id, 0)
+
+    def choices(self, attempt_id: str) -> tuple[Choice, ...]:
+        """Return the decision already made for an attempt in flight; empty when there is none.
+
+        Parameters
+        ----------
+        attempt_id
+            The attempt.
+
+        Returns
+        -------
+        tuple[Choice, ...]
+            The choices.
+        """
+        attempt = self._attempts.get(attempt_id)
+        return attempt.choices if attempt is not None else ()
+
+    def occupies(self, attempt_id: str, worker_id: str) -> bool:
+        """Return whether an attempt still occupies a worker, as of the last :meth:`expire`.
+
+        Parameters
+        ----------
+        attempt_id
+            The attempt.
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        bool
+            True while it does.
+        """
+        attempt = self._attempts.get(attempt_id)
+        return attempt is not None and worker_id in attempt.registrations
+
+    def forget_worker(self, worker_id: str) -> list[str]:
+        """Free a worker of every attempt, because its process is gone.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        list[str]
+            The attempts that occupied it.
+        """
+        attempts = [
+            attempt_id
+            for attempt_id, attempt in self._attempts.items()
+            if worker_id in attempt.registrations
+        ]
+        for attempt_id in attempts:
+            attempt = self._attempts[attempt_id]
+            del attempt.registrations[worker_id]
+            if not attempt.registrations:
+                del self._attempts[attempt_id]
+        self._counts.pop(worker_id, None)
+        return attempts
+
+    def marks(self, now: float) -> tuple[InFlightMark, ...]:
+        """Return every mark, for a new leader.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        tuple[InFlightMark, ...]
+            One for each attempt and worker.
+        """
+        self.expire(now)
+        return tuple(
+            InFlightMark(
+                request_id=attempt.request_id,
+                attempt_id=attempt_id,
+                worker_id=worker_id,
+                age_seconds=now - attempt.begun_at,
+            )
+            for attempt_id, attempt in self._attempts.items()
+            for worker_id in attempt.registrations
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget every attempt whose time to live has passed.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        """
+        queue = self._expiry_queue
+        while queue and queue[0][0] <= now:
+            deadline, attempt_id = heapq.heappop(queue)
+            attempt = self._attempts.get(attempt_id)
+            # An id can have been released and registered anew; its newer deadline is queued too.
+            if attempt is None or attempt.deadline > deadline:
+                continue
+            del self._attempts[attempt_id]
+            for worker_id in attempt.registrations:
+                self._discount(worker_id)
+
+    def _mark(self, attempt: _Attempt, registration: Registration) -> None:
+        worker_id = registration.worker_id
+        if worker_id in attempt.registrations:
+            return
+        attempt.registrations[worker_id] = registration
+        self._counts[worker_id] = self._counts.get(worker_id, 0) + 1
+
+    def _discount(self, worker_id: str) -> None:
+        remaining = self._counts[worker_id] - 1
+        if remaining == 0:
+            del self._counts[worker_id]
+        else:
+            self._counts[worker_id] = remaining
--- /dev/null
+++ b/src/orchidpath/circuit/roster.py
@@ -0,0 +1,165 @@
+"""The workers that the leader keeps circuits for."""
+
+from collections.abc import Iterable, Iterator
+
+from orchidpath.circuit.capacity import failure_domain_of, undeclared_domain
+from orchidpath.circuit.health import HealthWindow
+from orchidpath.circuit.worker_circuit import WorkerCircuit
+from orchidpath.wire.records import CircuitRecord, WorkerRecord, WorkerStatus
+
+
+class TrackedWorker:
+    """What the leader keeps about one worker.
+
+    Parameters
+    ----------
+    worker_id
+        The worker.
+    health_window_seconds
+        Length of its health window.
+    """
+
+    __slots__ = ("circuit", "domain", "eligible", "health")
+
+    def __init__(self, worker_id: str, health_window_seconds: float) -> None:
+        self.circuit = WorkerCircuit(worker_id)
+        self.health = HealthWindow(health_window_seconds)
+        self.domain = undeclared_domain(worker_id)
+        self.eligible = True
+
+
+class CircuitRoster:
+    """Workers by id; before the roster is known, any worker that is asked for.
+
+    The agreed circuit is kept also for a worker that has gone: its generation is compared with
+    the agreed one when the worker comes back.
+
+    Parameters
+    ----------
+    health_window_seconds
+        Length of the health windows.
+    """
+
+    def __init__(self, health_window_seconds: float) -> None:
+        self._health_window_seconds = health_window_seconds
+        self._workers: dict[str, TrackedWorker] = {}
+        self._retired: dict[str, WorkerCircuit] = {}
+        self._is_known = False
+
+    def __iter__(self) -> Iterator[TrackedWorker]:
+        return iter(self._workers.values())
+
+    def get(self, worker_id: str) -> TrackedWorker | None:
+        """Return a worker of the roster.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        TrackedWorker | None
+            None when it isn't in the roster.
+        """
+        if self._is_known:
+            return self._workers.get(worker_id)
+        return self._tracked(worker_id)
+
+    def apply_circuit(self, record: CircuitRecord, now: float) -> None:
+        """Take an agreed circuit; see :meth:`WorkerCircuit.take`.
+
+        Parameters
+        ----------
+        record
+            The record.
+        now
+            Monotonic time in seconds.
+        """
+        self.circuit(record.worker_id).take(record, now)
+
+    def circuit(self, worker_id: str) -> WorkerCircuit:
+        """Return a worker's circuit, also when the worker isn't in the roster (yet or any more).
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+
+        Returns
+        -------
+        WorkerCircuit
+            The circuit that the worker has, or will have when it comes.
+        """
+        retired = self._retired.get(worker_id)
+        return retired or self._tracked(worker_id).circuit
+
+    def forget_circuit(self, worker_id: str) -> None:
+        """Follow the log when it drops the agreed circuit of a worker.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+        """
+        self._retired.pop(worker_id, None)
+        worker = self._workers.get(worker_id)
+        if worker is not None:
+            worker.circuit = WorkerCircuit(worker_id, worker.circuit.incarnation)
+
+    def set_health_window(self, health_window_seconds: float) -> None:
+        """Change the length of every health window and keep what they hold.
+
+        Parameters
+        ----------
+        health_window_seconds
+            The new length.
+        """
+        self._health_window_seconds = health_window_seconds
+        for worker in self._workers.values():
+            if worker.health.window_seconds != health_window_seconds:
+                worker.health = worker.health.resized(health_window_seconds)
+
+    def set_workers(self, records: Iterable[WorkerRecord]) -> list[str]:
+        """Take the roster, whole.
+
+        Parameters
+        ----------
+        records
+            Every worker of the fleet.
+
+        Returns
+        -------
+        list[str]
+            Workers whose process has gone or has been replaced.
+        """
+        self._is_known = True
+        present = {
+            record.worker_id: record for record in records if record.status is not WorkerStatus.GONE
+        }
+        gone = [worker_id for worker_id in self._workers if worker_id not in present]
+        for worker_id in gone:
+            self._retired[worker_id] = self._workers.pop(worker_id).circuit
+        replaced = [record.worker_id for record in present.values() if self._set_worker(record)]
+        return gone + replaced
+
+    def _tracked(self, worker_id: str) -> TrackedWorker:
+        worker = self._workers.get(worker_id)
+        if worker is None:
+            worker = TrackedWorker(worker_id, self._health_window_seconds)
+            worker.eligible = not self._is_known
+            self._workers[worker_id] = worker
+        return worker
+
+    def _set_worker(self, record: WorkerRecord) -> bool:
+        """Track a present worker; return whether its process has been replaced."""
+        worker = self._tracked(record.worker_id)
+        retired = self._retired.pop(record.worker_id, None)
+        if retired is not None:
+            worker.circuit = retired
+        is_replaced = worker.circuit.set_incarnation(record.incarnation)
+        if is_replaced:
+            worker.health = HealthWindow(self._health_window_seconds)
+        worker.domain = failure_domain_of(record)
+        worker.eligible = record.status is WorkerStatus.READY and not record.held
+        return is_replaced
--- /dev/null
+++ b/src/orchidpath/circuit/selection.py
@@ -0,0 +1,167 @@
+"""Chooses a worker for every leg of a decision, in preference order; pure.
+
+Rules (paper, "Circuit breakers and bounded retries"; design page):
+
+- each eligible worker is tried once before any reuse;
+- a worker whose circuit or whose failure domain's capacity circuit is open is skipped;
+- ring order holds unless a worker is overloaded: one with as many attempts in flight as the bound
+  is passed over. The bound is the average of the closed candidates times a factor, and at least
+  one attempt above the average, so there always is a candidate below it;
+- a probe is granted to a request only when the worker is the next in preference order and an
+  untried closed candidate remains for a retry, or when no closed candidate exists. A request
+  takes at most one probe unless a leg has nothing else.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.circuit.worker_circuit import Admission
+from orchidpath.wire.messages import Denial
+from orchidpath.wire.records import Stage
+
+DEFAULT_LOAD_BOUND_FACTOR = 1.25
+"""A worker may hold this many times the average number of attempts in flight."""
+
+MINIMUM_LOAD_ABOVE_AVERAGE = 1.0
+"""A worker may always hold this many attempts more than the average."""
+
+
+class Candidate(msgspec.Struct, frozen=True, kw_only=True):
+    """A candidate as it was read for this decision."""
+
+    worker_id: str
+    admission: Admission
+    tried: bool
+    in_flight: int
+    circuit_wait_seconds: float
+    capacity_wait_seconds: float
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether it may be tried without a probe."""
+        return self.admission is Admission.CLOSED and self.capacity_wait_seconds <= 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may be tried, as a probe or not."""
+        return self.admission is not Admission.BLOCKED and self.capacity_wait_seconds <= 0
+
+    @property
+    def owns_probe(self) -> bool:
+        """Whether the asking attempt owns its probe and may use it."""
+        return self.admission is Admission.PROBE_OWNED and self.capacity_wait_seconds <= 0
+
+
+class LegCandidates(msgspec.Struct, frozen=True):
+    """The candidates of one leg in preference order, best first."""
+
+    stage: Stage
+    candidates: tuple[Candidate, ...]
+
+
+class LegChoice(msgspec.Struct, frozen=True):
+    """The candidate chosen for one leg."""
+
+    stage: Stage
+    candidate: Candidate
+
+
+class Selection(msgspec.Struct, frozen=True, kw_only=True):
+    """A choice for every leg, or a denial and the time after which to ask again."""
+
+    choices: tuple[LegChoice, ...] = ()
+    denial: Denial = Denial.NONE
+    retry_after_seconds: float = 0.0
+
+
+def select(legs: Sequence[LegCandidates], load_bound_factor: float) -> Selection:
+    """Choose a worker for every leg.
+
+    Parameters
+    ----------
+    legs
+        The candidates of each leg.
+    load_bound_factor
+        Factor on the average number of attempts in flight.
+
+    Returns
+    -------
+    Selection
+        Choices for all legs, or a denial when any leg has none.
+    """
+    may_probe = not any(candidate.owns_probe for leg in legs for candidate in leg.candidates)
+    choices: list[LegChoice] = []
+    blocked: list[Selection] = []
+    for leg in legs:
+        candidate = _choose(leg.candidates, load_bound_factor, may_probe=may_probe)
+        if candidate is None:
+            blocked.append(_deny(leg.candidates))
+            continue
+        may_probe = may_probe and candidate.is_closed
+        choices.append(LegChoice(leg.stage, candidate))
+    if blocked:
+        # The request can go on only when every blocked leg can: the longest wait counts.
+        return max(blocked, key=lambda denial: denial.retry_after_seconds)
+    return Selection(choices=tuple(choices))
+
+
+def _choose(
+    candidates: Sequence[Candidate], load_bound_factor: float, *, may_probe: bool
+) -> Candidate | None:
+    for candidate in candidates:
+        if candidate.owns_probe:
+            return candidate
+    untried_closed = [entry for entry in candidates if entry.is_closed and not entry.tried]
+    if untried_closed:
+        return _first_in_order(candidates, untried_closed, load_bound_factor, may_probe)
+    closed = [entry for entry in candidates if entry.is_closed]
+    if closed:
+        return _first_below_bound(closed, load_bound_factor)
+    return _first_probe(candidates)
+
+
+def _first_in_order(
+    candidates: Sequence[Candidate],
+    untried_closed: Sequence[Candidate],
+    load_bound_factor: float,
+    may_probe: bool,
+) -> Candidate:
+    """Return the first untried candidate; a probe comes in its turn, as a retry remains."""
+    closed_choice = _first_below_bound(untried_closed, load_bound_factor)
+    if not may_probe:
+        return closed_choice
+    for candidate in candidates:
+        if candidate.worker_id == closed_choice.worker_id:
+            return closed_choice
+        if candidate.is_usable and not candidate.is_closed and not candidate.tried:
+            return candidate
+    return closed_choice
+
+
+def _first_below_bound(closed: Sequence[Candidate], load_bound_factor: float) -> Candidate:
+    average = sum(candidate.in_flight for candidate in closed) / len(closed)
+    bound = max(average * load_bound_factor, average + MINIMUM_LOAD_ABOVE_AVERAGE)
+    # The smallest is never above the average, so the bound always leaves one.
+    return next(candidate for candidate in closed if candidate.in_flight < bound)
+
+
+def _first_probe(candidates: Sequence[Candidate]) -> Candidate | None:
+    """Return the first worker that may be probed, an untried one before a reuse."""
+    usable = [candidate for candidate in candidates if candidate.is_usable]
+    untried = [candidate for candidate in usable if not candidate.tried]
+    return next(iter(untried or usable), None)
+
+
+def _deny(candidates: Sequence[Candidate]) -> Selection:
+    if not candidates:
+        return Selection(denial=Denial.EXHAUSTED)
+    wait_seconds = min(
+        max(candidate.circuit_wait_seconds, candidate.capacity_wait_seconds)
+        for candidate in candidates
+    )
+    blocked_by_capacity = any(
+        candidate.admission is not Admission.BLOCKED for candidate in candidates
+    )
+    denial = Denial.SHARED_CAPACITY if blocked_by_capacity else Denial.CIRCUITS_OPEN
+    return Selection(denial=denial, retry_after_seconds=wait_seconds)
--- /dev/null
+++ b/tests/circuit/test_circuit_properties.py
@@ -0,0 +1,228 @@
+"""Properties of the table under any order of decisions, reports, repeats and losses."""
+
+import math
+from collections.abc import Sequence
+
+import msgspec
+from circuit_builders import POLICY, AgreedTable, leg, request, worker
+from circuit_builders import report as report_of
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from orchidpath.circuit.selection import Candidate, LegCandidates, select
+from orchidpath.circuit.table import Decided, NeedsTransition
+from orchidpath.circuit.worker_circuit import Admission
+from orchidpath.wire.messages import AttemptEffect, AttemptReport, DecisionRequest
+from orchidpath.wire.records import CircuitRecord, CircuitStatus, Stage
+
+WORKERS = ("a", "b")
+SENSITIVE_POLICY = msgspec.structs.replace(POLICY, allowed_fails=2)
+REMEMBERED_SECONDS = 600.0
+OPEN = {CircuitStatus.COOLDOWN, CircuitStatus.QUARANTINED}
+ORDERS = st.sampled_from([("a",), ("a", "b"), ("b", "a")])
+EFFECTS = st.sampled_from([AttemptEffect.TRANSIENT] * 4 + list(AttemptEffect))
+
+
+class Attempt:
+    """An attempt as the model remembers it."""
+
+    def __init__(self, request_id: str, attempt_id: str, worker_id: str, at: float) -> None:
+        self.request_id = request_id
+        self.attempt_id = attempt_id
+        self.worker_id = worker_id
+        self.begun_at = at
+        self.probe_generation: int | None = None
+
+    def ends(self, effect: AttemptEffect) -> AttemptReport:
+        return report_of(
+            self.attempt_id,
+            self.worker_id,
+            effect,
+            request_id=self.request_id,
+            probe_generation=self.probe_generation,
+        )
+
+
+class TableMachine(RuleBasedStateMachine):
+    """Checks the rules against a model that only remembers what was asked and agreed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.agreed = AgreedTable([worker(name) for name in WORKERS], SENSITIVE_POLICY)
+        self.now = 0.0
+        self.number = 0
+        self.running: list[Attempt] = []
+        self.ended: list[AttemptReport] = []
+        self.attempts = 0
+        self.probes: dict[str, list[tuple[int, float]]] = {name: [] for name in WORKERS}
+        self.charged_at: dict[tuple[str, str], float] = {}
+
+    @rule(seconds=st.sampled_from([0.1, 11.0, 11.0, 25.0, 31.0, 121.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(order=ORDERS, same_request=st.booleans())
+    def decide(self, order: Sequence[str], same_request: bool) -> None:
+        self.number += not same_request
+        self.attempts += 1
+        attempt_id = f"attempt-{self.attempts}"
+        self.ask(request(attempt_id, leg(order), request_id=f"request-{self.number}"))
+
+    @rule(order=ORDERS)
+    def race(self, order: Sequence[str]) -> None:
+        """Two requests ask before either one's transition is agreed."""
+        self.number += 1
+        self.attempts += 2
+        decisions = [
+            request(f"attempt-{number}", leg(order), request_id=f"request-{self.number}")
+            for number in (self.attempts - 1, self.attempts)
+        ]
+        answers = [self.agreed.table.decide(decision, self.now) for decision in decisions]
+        for answer in answers:
+            if isinstance(answer, NeedsTransition):
+                self.commit(answer)
+        for decision in decisions:
+            self.ask(decision)
+
+    @rule(order=ORDERS)
+    def lose_grant(self, order: Sequence[str]) -> None:
+        """A probe is granted and its owner is never heard of."""
+        self.attempts += 1
+        answer = self.agreed.table.decide(request(f"attempt-{self.attempts}", leg(order)), self.now)
+        if isinstance(answer, NeedsTransition):
+            self.commit(answer)
+        else:
+            self.start(request(f"attempt-{self.attempts}", leg(order)), answer)
+
+    def ask(self, decision: DecisionRequest) -> None:
+        answer = self.agreed.table.decide(decision, self.now)
+        if isinstance(answer, NeedsTransition):
+            self.commit(answer)
+            answer = self.agreed.table.decide(decision, self.now)
+        assert isinstance(answer, Decided)
+        self.start(decision, answer)
+
+    def start(self, decision: DecisionRequest, answer: Decided) -> None:
+        for choice in answer.reply.choices:
+            attempt = Attempt(decision.request_id, decision.attempt_id, choice.worker_id, self.now)
+            attempt.probe_generation = choice.probe_generation
+            self.begin(attempt)
+
+    def commit(self, answer: NeedsTransition) -> None:
+        worker_id = answer.transition.worker_id
+        before = self.agreed.circuits.get(worker_id)
+        self.agreed.commit(answer.transition, self.now)
+        record = self.agreed.circuits[worker_id]
+        if record != before and record.status is CircuitStatus.HALF_OPEN:
+            self.take_probe(worker_id, record)
+
+    def take_probe(self, worker_id: str, record: CircuitRecord) -> None:
+        """Never two owners at once: a grant while another one's time runs is a fault."""
+        for generation, until in self.probes[worker_id]:
+            assert generation < record.generation
+            assert until <= self.now
+        until = self.now + record.duration_seconds
+        self.probes[worker_id].append((record.generation, until))
+
+    def begin(self, attempt: Attempt) -> None:
+        record = self.agreed.circuits.get(attempt.worker_id)
+        is_closed = record is None or record.status is CircuitStatus.AVAILABLE
+        if not is_closed:
+            assert record is not None
+            assert record.status is CircuitStatus.HALF_OPEN
+            assert record.probe_owner == attempt.attempt_id
+            assert attempt.probe_generation == record.generation
+        self.running.append(attempt)
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), effect=EFFECTS)
+    def end(self, data: st.DataObject, effect: AttemptEffect) -> None:
+        attempt = data.draw(st.sampled_from(self.running))
+        self.running.remove(attempt)
+        self.ended.append(attempt.ends(effect))
+        self.count(self.ended[-1], repeated=False)
+
+    @precondition(lambda self: self.ended)
+    @rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        self.count(data.draw(st.sampled_from(self.ended)), repeated=True)
+
+    def count(self, ended: AttemptReport, *, repeated: bool) -> None:
+        worker_id = ended.worker_id
+        before = self.agreed.circuits.get(worker_id)
+        failures_before = self.failures(worker_id)
+        count = self.agreed.report(ended, self.now)
+        after = self.agreed.circuits.get(worker_id)
+        if repeated:
+            assert count == 0
+            assert self.failures(worker_id) == failures_before
+        if before is not None and before.status in OPEN:
+            # Late failures never extend, and late successes never close.
+            assert after == before
+        if before is not None and before.status is CircuitStatus.HALF_OPEN and after != before:
+            assert before.probe_owner == ended.attempt_id
+            self.release_probe(worker_id, before.generation)
+        if self.failures(worker_id) > failures_before:
+            # Counted at most once for each request and worker, as long as that is remembered.
+            key = (ended.request_id, worker_id)
+            assert self.now - self.charged_at.get(key, -math.inf) >= REMEMBERED_SECONDS
+            self.charged_at[key] = self.now
+
+    def release_probe(self, worker_id: str, generation: int) -> None:
+        self.probes[worker_id] = [
+            probe for probe in self.probes[worker_id] if probe[0] != generation
+        ]
+
+    def failures(self, worker_id: str) -> int:
+        views = {view.worker_id: view for view in self.agreed.table.view(self.now)}
+        return views[worker_id].transient_failures
+
+    @invariant()
+    def in_flight_never_leaks(self) -> None:
+        alive = [
+            attempt.worker_id
+            for attempt in self.running
+            if attempt.begun_at + POLICY.in_flight_ttl_seconds > self.now
+        ]
+        for name in WORKERS:
+            assert self.agreed.in_flight(name, self.now) == alive.count(name)
+
+    @invariant()
+    def health_is_a_share(self) -> None:
+        for view in self.agreed.table.view(self.now):
+            assert 0.0 <= view.health <= 1.0
+            assert view.transient_failures < SENSITIVE_POLICY.allowed_fails
+
+
+TableMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestTableMachine = TableMachine.TestCase
+
+
+@given(
+    loads=st.lists(st.integers(0, 50), min_size=1, max_size=12),
+    factor=st.floats(1.0, 3.0),
+)
+@settings(deadline=None, derandomize=True)
+def test_ring_order_is_kept_unless_a_worker_is_over_the_bound(
+    loads: list[int], factor: float
+) -> None:
+    candidates = tuple(
+        Candidate(
+            worker_id=str(position),
+            admission=Admission.CLOSED,
+            tried=False,
+            in_flight=load,
+            circuit_wait_seconds=0.0,
+            capacity_wait_seconds=0.0,
+        )
+        for position, load in enumerate(loads)
+    )
+    selection = select([LegCandidates(Stage.PLAIN, candidates)], factor)
+    chosen = int(selection.choices[0].candidate.worker_id)
+    average = sum(loads) / len(loads)
+    bound = max(average * factor, average + 1.0)
+    assert loads[chosen] < bound
+    assert all(load >= bound for load in loads[:chosen])
