--- /dev/null
+++ b/src/orchidpath/state/commands.py
@@ -0,0 +1,166 @@
+"""Commands of the replicated log: every change of the fleet's shared state is one of them.
+
+A command is encoded as a tagged msgpack map, so new kinds and new fields with defaults can be
+added without breaking logs that were written before. Retired tags are never used again.
+"""
+
+import hashlib
+
+import msgspec
+
+from orchidpath.circuit.transitions import CapacityTransition, CircuitTransition
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.records import ControlMember, RouterRecord, WorkerRecord
+
+
+class CommandDecodeError(OrchidpathError):
+    """A committed command cannot be read.
+
+    A replica that meets one must stop: skipping a command that newer replicas understand would
+    make its state differ from theirs.
+    """
+
+
+class SubmitConfiguration(msgspec.Struct, frozen=True, kw_only=True, tag="submit_configuration"):
+    """An operator's order: a whole configuration built on ``base_version``.
+
+    ``digest`` is :func:`configuration_digest` of the content; it tells a repeated order from
+    another order that reuses the same id.
+    """
+
+    order_id: str
+    base_version: int
+    configuration: Configuration
+    digest: str
+
+
+class RegisterRouter(msgspec.Struct, frozen=True, kw_only=True, tag="register_router"):
+    """Adds a router to the roster, or changes its record."""
+
+    record: RouterRecord
+
+
+class RemoveRouter(msgspec.Struct, frozen=True, kw_only=True, tag="remove_router"):
+    """Takes a router out of the roster."""
+
+    router_id: str
+
+
+class WorkerChanged(msgspec.Struct, frozen=True, kw_only=True, tag="worker_changed"):
+    """A worker announced itself or a change; ``sequence`` is that of its announcement."""
+
+    record: WorkerRecord
+    sequence: int
+
+
+class WorkerGone(msgspec.Struct, frozen=True, kw_only=True, tag="worker_gone"):
+    """A worker's lease has lapsed; it concerns that incarnation only.
+
+    ``sequence`` is the newest announcement that the leader heard from it: announcements up to
+    that one, arriving late, do not bring the worker back.
+    """
+
+    worker_id: str
+    incarnation: str
+    sequence: int = 0
+
+
+class HoldWorker(msgspec.Struct, frozen=True, kw_only=True, tag="hold_worker"):
+    """Holds a worker back from new requests, or releases it.
+
+    The hold stays while the worker is restarted or gone, until it is released.
+    """
+
+    worker_id: str
+    held: bool
+
+
+class CircuitChanged(msgspec.Struct, frozen=True, kw_only=True, tag="circuit_changed"):
+    """A worker's circuit makes a transition."""
+
+    transition: CircuitTransition
+
+
+class CapacityChanged(msgspec.Struct, frozen=True, kw_only=True, tag="capacity_changed"):
+    """A failure domain's capacity circuit makes a transition."""
+
+    transition: CapacityTransition
+
+
+class RegisterControlMember(
+    msgspec.Struct, frozen=True, kw_only=True, tag="register_control_member"
+):
+    """Adds a control replica to the list of members, or changes its record."""
+
+    member: ControlMember
+
+
+class RemoveControlMember(msgspec.Struct, frozen=True, kw_only=True, tag="remove_control_member"):
+    """Takes a control replica out of the list of members."""
+
+    node_id: str
+
+
+class LeaderStarted(msgspec.Struct, frozen=True, kw_only=True, tag="leader_started"):
+    """The first command of a leader; it records the highest term whose leader has committed."""
+
+    term: int
+
+
+class RevisionConfirmed(msgspec.Struct, frozen=True, kw_only=True, tag="revision_confirmed"):
+    """Every router that serves obeys ``revision`` or newer.
+
+    Witness sets that were in force before it no longer count for a later confirmation.
+    """
+
+    revision: int
+
+
+Command = (
+    SubmitConfiguration
+    | RegisterRouter
+    | RemoveRouter
+    | WorkerChanged
+    | WorkerGone
+    | HoldWorker
+    | CircuitChanged
+    | CapacityChanged
+    | RegisterControlMember
+    | RemoveControlMember
+    | LeaderStarted
+    | RevisionConfirmed
+)
+"""Any command of the replicated log."""
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the payload of a log entry that carries a command."""
+    return _encoder.encode(command)
+
+
+def decode_command(payload: bytes) -> Command:
+    """Return the command in the payload of a log entry.
+
+    Raises
+    ------
+    CommandDecodeError
+        The payload is damaged, or of a kind that this version does not know.
+    """
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise CommandDecodeError(str(error)) from error
+
+
+def configuration_digest(base_version: int, configuration: Configuration) -> str:
+    """Return the digest of an order's content, equal for equal content.
+
+    It is taken of the parsed configuration, so white space, the order of keys and defaults that
+    were left out make no difference.
+    """
+    content = msgspec.json.encode((base_version, configuration), order="deterministic")
+    return hashlib.sha256(content).hexdigest()
--- /dev/null
+++ b/src/orchidpath/state/outcomes.py
@@ -0,0 +1,93 @@
+"""What applying a command has brought, as typed values.
+
+Every replica reaches the same outcome for the same command; the leader answers from it.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from orchidpath.wire.records import CapacityRecord, CircuitRecord
+
+
+class OrderAccepted(msgspec.Struct, frozen=True, kw_only=True, tag="accepted"):
+    """The order's configuration became ``version``."""
+
+    version: int
+
+
+class OrderConflict(msgspec.Struct, frozen=True, kw_only=True, tag="conflict"):
+    """The order was not built on the version of its time, ``current_version``; nothing changed."""
+
+    current_version: int
+
+
+class OrderIdReused(msgspec.Struct, frozen=True, kw_only=True, tag="order_id_reused"):
+    """The order's id was taken by an order with other content; nothing changed."""
+
+    current_version: int
+
+
+OrderOutcome = OrderAccepted | OrderConflict
+"""The outcome that is remembered under an order's id."""
+
+
+class OrderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """An order that was taken, and its first outcome."""
+
+    order_id: str
+    digest: str
+    outcome: OrderOutcome
+
+
+class OrderResult(msgspec.Struct, frozen=True, kw_only=True, tag="order"):
+    """Outcome of a submitted configuration; ``repeated`` when it was already taken before."""
+
+    outcome: OrderAccepted | OrderConflict | OrderIdReused
+    repeated: bool = False
+
+
+class Effect(StrEnum):
+    """Effect of a command on the state."""
+
+    CHANGED = "changed"
+    UNCHANGED = "unchanged"
+    STALE = "stale"
+    """Overtaken by something newer: a sequence, an incarnation, a generation or a term."""
+    UNKNOWN = "unknown"
+    """Names something that is not there."""
+    INVALID = "invalid"
+    """Breaks a rule that its sender should have kept."""
+
+
+class RecordResult(msgspec.Struct, frozen=True, kw_only=True, tag="record"):
+    """Outcome of a command about a worker, router, control member or leader."""
+
+    effect: Effect
+
+
+class CircuitResult(msgspec.Struct, frozen=True, kw_only=True, tag="circuit"):
+    """Outcome of a circuit's transition; ``record`` is the agreed one after it."""
+
+    effect: Effect
+    record: CircuitRecord | None = None
+
+
+class CapacityResult(msgspec.Struct, frozen=True, kw_only=True, tag="capacity"):
+    """Outcome of a capacity circuit's transition; ``record`` is the agreed one after it."""
+
+    effect: Effect
+    record: CapacityRecord | None = None
+
+
+Outcome = OrderResult | RecordResult | CircuitResult | CapacityResult
+"""Outcome of any command."""
+
+
+class ApplyResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of one applied log entry, with the counters as they stand after it."""
+
+    index: int
+    revision: int
+    circuits_sequence: int
+    outcome: Outcome
--- /dev/null
+++ b/src/orchidpath/state/ranges.py
@@ -0,0 +1,95 @@
+"""Ranges of the numbers in a configuration."""
+
+import msgspec
+
+from orchidpath.state.problems import Problem, join_path
+from orchidpath.wire.configuration import (
+    AdmissionPolicy,
+    CircuitPolicy,
+    RetryPolicy,
+    Route,
+    Service,
+)
+
+MAX_SECONDS = 86_400.0
+"""No time in a configuration is longer than a day."""
+
+MAX_COUNT = 1_000_000_000
+"""No count in a configuration is larger; it keeps every count in 32 bits."""
+
+MAX_ATTEMPTS = 100
+"""Attempts of one request; each worker is tried once before any is tried again."""
+
+
+class Range(msgspec.Struct, frozen=True, kw_only=True):
+    """A closed range, or with ``above`` one whose lower end is left out."""
+
+    minimum: float
+    maximum: float
+    above: bool = False
+
+    def holds(self, value: float) -> bool:
+        """Return whether a number is in the range."""
+        if self.above and value <= self.minimum:
+            return False
+        return self.minimum <= value <= self.maximum
+
+    def describe(self) -> str:
+        """Return the range in words."""
+        lower = "above" if self.above else "at least"
+        return f"{lower} {self.minimum:g} and at most {self.maximum:g}"
+
+
+_SECONDS = Range(minimum=0.0, maximum=MAX_SECONDS, above=True)
+_COUNT = Range(minimum=1, maximum=MAX_COUNT)
+_COUNT_OR_NONE = Range(minimum=0, maximum=MAX_COUNT)
+
+_RANGES: dict[type[msgspec.Struct], dict[str, Range]] = {
+    Service: {"prefill_workers": _COUNT_OR_NONE, "decode_workers": _COUNT_OR_NONE},
+    Route: {
+        "deadline_seconds": _SECONDS,
+        "first_token_timeout_seconds": _SECONDS,
+        "stall_timeout_seconds": _SECONDS,
+    },
+    CircuitPolicy: {
+        "allowed_fails": _COUNT,
+        "cooldown_seconds": _SECONDS,
+        "max_cooldown_seconds": _SECONDS,
+        "half_open_probe_seconds": _SECONDS,
+        "configuration_cooldown_seconds": _SECONDS,
+        "throttle_cooldown_seconds": _SECONDS,
+        "health_window_seconds": _SECONDS,
+        "in_flight_ttl_seconds": _SECONDS,
+    },
+    RetryPolicy: {
+        "max_attempts": Range(minimum=1, maximum=MAX_ATTEMPTS),
+        "backoff_base_seconds": _SECONDS,
+        "backoff_cap_seconds": _SECONDS,
+        "budget_ratio": Range(minimum=0.0, maximum=1.0),
+        "budget_window_seconds": _SECONDS,
+        "budget_minimum_per_second": Range(minimum=0.0, maximum=1000.0),
+    },
+    AdmissionPolicy: {
+        "max_requests_in_flight": _COUNT,
+        "max_cost_tokens_in_flight": _COUNT,
+        "max_tenant_share": Range(minimum=0.0, maximum=1.0, above=True),
+        "load_bound_factor": Range(minimum=1.0, maximum=1000.0),
+    },
+}
+
+
+def range_problems(value: msgspec.Struct, path: str) -> list[Problem]:
+    """Return the numbers of a part of a configuration that are out of range.
+
+    Parameters
+    ----------
+    value
+        A service, route or policy.
+    path
+        Its path in the configuration.
+    """
+    return [
+        Problem(path=join_path(path, name), message=f"must be {allowed.describe()}")
+        for name, allowed in _RANGES[type(value)].items()
+        if not allowed.holds(getattr(value, name))
+    ]
--- /dev/null
+++ b/src/orchidpath/state/snapshot.py
@@ -0,0 +1,90 @@
+"""Snapshot format of the replicated state.
+
+Everything that decides a later outcome is in it; everything is in a fixed order, so replicas that
+applied the same commands write the same bytes.
+"""
+
+import msgspec
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.state.outcomes import OrderRecord
+from orchidpath.state.witnesses import WitnessSet
+from orchidpath.state.workers import DeadIncarnation, WorkerEntry
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.records import (
+    CapacityRecord,
+    CircuitRecord,
+    ControlMember,
+    RouterRecord,
+)
+
+SNAPSHOT_FORMAT = 1
+"""Raised with every change that an older version could not read."""
+
+
+class SnapshotFormatError(OrchidpathError):
+    """A snapshot is damaged, or of a format that this version does not know."""
+
+
+class ConfigurationEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """One configuration that was taken: its version, the order's id and its content's digest."""
+
+    version: int
+    order_id: str
+    digest: str
+
+
+class SnapshotHeader(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of a snapshot that is the same in all formats."""
+
+    format: int
+
+
+class SnapshotBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole state after the log entry at ``applied_index``; by default the first state."""
+
+    format: int = SNAPSHOT_FORMAT
+    applied_index: int = 0
+    leader_term: int = 0
+    revision: int = 0
+    confirmed_revision: int = 0
+    circuits_sequence: int = 0
+    configuration_version: int = 0
+    configuration: Configuration = Configuration()
+    history: list[ConfigurationEntry] = []
+    orders: list[OrderRecord] = []
+    workers: list[WorkerEntry] = []
+    dead_incarnations: list[DeadIncarnation] = []
+    held_workers: list[str] = []
+    routers: list[RouterRecord] = []
+    witness_sets: list[WitnessSet] = []
+    circuits: list[CircuitRecord] = []
+    capacities: list[CapacityRecord] = []
+    control_members: list[ControlMember] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_header_decoder = msgspec.msgpack.Decoder(SnapshotHeader)
+_body_decoder = msgspec.msgpack.Decoder(SnapshotBody)
+
+
+def encode_snapshot(body: SnapshotBody) -> bytes:
+    """Return a snapshot's bytes."""
+    return _encoder.encode(body)
+
+
+def decode_snapshot(data: bytes) -> SnapshotBody:
+    """Return the state in a snapshot.
+
+    Raises
+    ------
+    SnapshotFormatError
+        The snapshot is damaged or of another format.
+    """
+    try:
+        header = _header_decoder.decode(data)
+        if header.format != SNAPSHOT_FORMAT:
+            raise SnapshotFormatError(f"snapshot format {header.format} is not known")
+        return _body_decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise SnapshotFormatError(str(error)) from error
--- /dev/null
+++ b/tests/state/test_fleet_state_properties.py
@@ -0,0 +1,180 @@
+"""Properties of the replicated state under random commands."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidpath.circuit.transitions import CapacityTransition, CircuitTransition
+from orchidpath.state.commands import (
+    CapacityChanged,
+    CircuitChanged,
+    Command,
+    HoldWorker,
+    LeaderStarted,
+    RegisterControlMember,
+    RegisterRouter,
+    RemoveControlMember,
+    RemoveRouter,
+    RevisionConfirmed,
+    SubmitConfiguration,
+    WorkerChanged,
+    WorkerGone,
+    configuration_digest,
+    encode_command,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import OrderAccepted, OrderIdReused, OrderResult
+from orchidpath.wire.configuration import Configuration, Service, ServiceKind
+from orchidpath.wire.records import (
+    CircuitStatus,
+    ControlMember,
+    FleetView,
+    RouterRecord,
+    Stage,
+    WorkerRecord,
+    WorkerStatus,
+)
+
+worker_ids = st.sampled_from([f"w{number}" for number in range(4)])
+incarnations = st.sampled_from(["a", "b", "c"])
+sequences = st.integers(0, 12)
+router_ids = st.sampled_from([f"r{number:02}" for number in range(12)])
+small = st.integers(0, 6)
+
+
+def make_order(order_id: str, base_version: int, name: str) -> SubmitConfiguration:
+    configuration = Configuration(services=[Service(name=name, kind=ServiceKind.PLAIN)])
+    digest = configuration_digest(base_version, configuration)
+    return SubmitConfiguration(
+        order_id=order_id, base_version=base_version, configuration=configuration, digest=digest
+    )
+
+
+def make_worker(worker_id: str, incarnation: str, status: WorkerStatus) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=worker_id,
+        incarnation=incarnation,
+        service="s",
+        stage=Stage.PLAIN,
+        url="http://127.0.0.1:1",
+        status=status,
+    )
+
+
+def make_router(router_id: str, zone: str) -> RouterRecord:
+    return RouterRecord(router_id=router_id, address="a", http_address="h", zone=zone)
+
+
+orders = st.builds(
+    make_order, st.sampled_from([f"o{number}" for number in range(30)]), small, st.text(max_size=3)
+)
+workers = st.builds(make_worker, worker_ids, incarnations, st.sampled_from(WorkerStatus))
+members = st.builds(ControlMember, node_id=st.sampled_from(["c1", "c2"]), address=st.text("ab"))
+circuit_transitions = st.builds(
+    CircuitTransition,
+    worker_id=worker_ids,
+    expected_generation=small,
+    status=st.sampled_from(CircuitStatus),
+    duration_seconds=st.floats(0, 300),
+)
+capacity_transitions = st.builds(
+    CapacityTransition,
+    failure_domain=worker_ids,
+    expected_generation=small,
+    duration_seconds=st.floats(0, 300),
+)
+worker_commands = st.one_of(
+    st.builds(WorkerChanged, record=workers, sequence=sequences),
+    st.builds(WorkerGone, worker_id=worker_ids, incarnation=incarnations, sequence=sequences),
+    st.builds(HoldWorker, worker_id=worker_ids, held=st.booleans()),
+)
+commands: st.SearchStrategy[Command] = st.one_of(
+    orders,
+    worker_commands,
+    worker_commands,
+    st.builds(
+        RegisterRouter,
+        record=st.builds(make_router, router_ids, st.sampled_from(["z1", "z2", "z3"])),
+    ),
+    st.builds(RemoveRouter, router_id=router_ids),
+    st.builds(CircuitChanged, transition=circuit_transitions),
+    st.builds(CapacityChanged, transition=capacity_transitions),
+    st.builds(RegisterControlMember, member=members),
+    st.builds(RemoveControlMember, node_id=st.sampled_from(["c1", "c2"])),
+    st.builds(LeaderStarted, term=small),
+    st.builds(RevisionConfirmed, revision=st.integers(0, 60)),
+)
+logs = st.lists(commands, min_size=150, max_size=400)
+steady = settings(max_examples=25, deadline=None, derandomize=True)
+
+
+@steady
+@given(logs, st.integers(0, 400))
+def test_a_restored_replica_goes_on_byte_for_byte_like_the_original(
+    log: list[Command], restored_at: int
+) -> None:
+    original, replica = FleetState(), FleetState()
+    for index, command in enumerate(log, start=1):
+        payload = encode_command(command)
+        assert original.apply(index, payload) == replica.apply(index, payload)
+        if index == restored_at or index % 97 == 0:
+            replica = FleetState.restore(original.snapshot())
+    assert original.snapshot() == replica.snapshot()
+    assert original.view() == replica.view()
+    since = original.confirmed_revision
+    assert original.witness_sets_since(since) == replica.witness_sets_since(since)
+
+
+def adopt(held: FleetView, state: FleetState) -> FleetView:
+    """Adopt an update as a router does."""
+    update = state.update_since(held.revision)
+    if update.view is not None:
+        return update.view
+    assert update.base_revision == held.revision
+    by_id = {record.worker_id: record for record in held.workers}
+    for record in update.workers:
+        by_id[record.worker_id] = record
+    present = [by_id[key] for key in sorted(by_id) if by_id[key].status is not WorkerStatus.GONE]
+    return FleetView(
+        revision=update.revision,
+        configuration_version=update.configuration_version,
+        configuration=held.configuration,
+        workers=tuple(present),
+        routers=held.routers,
+        witnesses=held.witnesses,
+    )
+
+
+@steady
+@given(logs, st.integers(1, 9))
+def test_updates_adopted_at_any_pace_lead_to_the_whole_view(log: list[Command], pace: int) -> None:
+    state = FleetState()
+    held = state.view()
+    for index, command in enumerate(log, start=1):
+        revision = state.revision
+        state.apply(index, encode_command(command))
+        assert state.revision - revision in {0, 1}
+        if index % pace == 0:
+            held = adopt(held, state)
+            assert held == state.view()
+
+
+@steady
+@given(st.lists(orders, min_size=50, max_size=200))
+def test_each_version_is_won_by_one_order_and_each_order_keeps_its_outcome(
+    log: list[SubmitConfiguration],
+) -> None:
+    state = FleetState()
+    winners: dict[int, str] = {}
+    first: dict[tuple[str, str], OrderResult] = {}
+    for index, command in enumerate(log, start=1):
+        result = state.apply(index, encode_command(command)).outcome
+        assert isinstance(result, OrderResult)
+        key = (command.order_id, command.digest)
+        earlier = first.setdefault(key, result).outcome
+        if isinstance(earlier, OrderIdReused):
+            assert isinstance(result.outcome, OrderIdReused)
+        else:
+            assert result.outcome == earlier
+        if isinstance(result.outcome, OrderAccepted):
+            assert winners.setdefault(result.outcome.version, command.order_id) == command.order_id
+    assert sorted(winners) == list(range(1, state.configuration_version + 1))
