--- /dev/null
+++ b/src/orchidpath/routing/pairing.py
@@ -0,0 +1,357 @@
+"""Preference orders of workers for one decision: which prefill and decode pair to try first.
+
+Works on one snapshot of the fleet. A worker is eligible when it belongs to the service and stage,
+is READY, is not held by a plan and serves the model; circuits are judged later, by whoever reads
+them fresh. Each order names a bounded number of candidates, the best first, and puts workers that
+this request has already tried last, so that each is tried once before reuse (paper, "Circuit
+breakers and bounded retries").
+
+Load bound: a worker is over the bound when one more request would put it above
+``load_bound_factor`` times the mean load (consistent hashing with bounded loads). Workers over the
+bound come after the others, so a popular prefix overflows to the next workers on the ring.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from orchidpath.routing.handover import PairAvoidance
+from orchidpath.routing.ring import HashRing, prefix_key, request_key
+from orchidpath.wire.messages import Leg
+from orchidpath.wire.records import FleetView, Stage, WorkerRecord, WorkerStatus
+
+CANDIDATE_LIMIT = 8
+"""Candidates that go into one leg of a decision."""
+
+CONSIDERED_WORKERS = 4 * CANDIDATE_LIMIT
+"""Workers looked at for one leg; bounds the work of a decision in a large fleet."""
+
+MINIMUM_LOAD_BOUND = 2
+"""A worker with fewer requests in flight is never over the load bound, however idle the rest."""
+
+CACHED_RINGS = 256
+"""Rings kept; the one used longest ago is dropped first."""
+
+
+class ModelQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """One attempt of a chat completion that needs a pair of workers.
+
+    ``key`` is the prompt's :func:`~orchidpath.routing.ring.prefix_key`. With
+    ``prefill_worker_id`` set the prompt was already read there and only a decode worker is wanted.
+    """
+
+    service: str
+    model: str
+    request_id: str
+    key: int
+    tried_prefill: tuple[str, ...] = ()
+    tried_decode: tuple[str, ...] = ()
+    prefill_worker_id: str = ""
+
+
+class PlainQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """One attempt of a plain call that needs a worker."""
+
+    service: str
+    request_id: str
+    tried: tuple[str, ...] = ()
+
+
+class RingCache:
+    """Rings by service, stage and workers, so that a new view costs nothing where it is the same.
+
+    Parameters
+    ----------
+    capacity : int
+        Rings kept.
+    """
+
+    def __init__(self, capacity: int = CACHED_RINGS):
+        self._capacity = capacity
+        self._rings: OrderedDict[tuple[str, Stage, tuple[str, ...]], HashRing] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._rings)
+
+    def ring(self, service: str, stage: Stage, worker_ids: tuple[str, ...]) -> HashRing:
+        """Return the ring of some workers, built when it is not known.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        stage : Stage
+            Part that the workers play.
+        worker_ids : tuple[str, ...]
+            The workers, sorted.
+
+        Returns
+        -------
+        HashRing
+            Their ring.
+        """
+        cache_key = (service, stage, worker_ids)
+        ring = self._rings.get(cache_key)
+        if ring is None:
+            ring = HashRing.build(worker_ids)
+            self._rings[cache_key] = ring
+            if len(self._rings) > self._capacity:
+                self._rings.popitem(last=False)
+        else:
+            self._rings.move_to_end(cache_key)
+        return ring
+
+
+class _Pool(msgspec.Struct, frozen=True):
+    """The eligible workers of one service, stage and model, on their rings."""
+
+    ring: HashRing
+    zone_rings: dict[str, HashRing]
+    worker_ids: tuple[str, ...]
+
+
+class PairSelector:
+    """Gives the preference orders of one router's decisions.
+
+    Parameters
+    ----------
+    avoidance : PairAvoidance
+        Pairs with a failed link; put last.
+    candidate_limit : int
+        Candidates of one leg.
+    """
+
+    def __init__(self, avoidance: PairAvoidance, candidate_limit: int = CANDIDATE_LIMIT):
+        self._avoidance = avoidance
+        self._candidate_limit = candidate_limit
+        self._rings = RingCache()
+        self._pools: dict[tuple[str, Stage, str], _Pool] = {}
+        self._workers: dict[tuple[str, Stage], list[WorkerRecord]] = {}
+        self._zones: dict[str, str] = {}
+        self._load_bound_factor = 1.0
+
+    def update_view(self, view: FleetView) -> None:
+        """Decide from another snapshot of the fleet from now on.
+
+        Parameters
+        ----------
+        view : FleetView
+            The snapshot that the router has adopted.
+        """
+        self._pools = {}
+        self._workers = {}
+        self._zones = {worker.worker_id: worker.zone for worker in view.workers}
+        self._load_bound_factor = view.configuration.admission.load_bound_factor
+        for worker in view.workers:
+            if worker.status is WorkerStatus.READY and not worker.held:
+                self._workers.setdefault((worker.service, worker.stage), []).append(worker)
+
+    def model_legs(
+        self, query: ModelQuery, in_flight: Mapping[str, int], now: float
+    ) -> tuple[Leg, ...]:
+        """Return the legs of a decision about a chat completion.
+
+        Parameters
+        ----------
+        query : ModelQuery
+            What is asked for.
+        in_flight : Mapping[str, int]
+            Requests in flight on each worker as far as known; zero where unknown.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        tuple[Leg, ...]
+            Prefill and decode, or decode alone when the prompt was already read. A leg without
+            candidates means that no worker is eligible.
+        """
+        if query.prefill_worker_id:
+            return (self.decode_leg(query, query.prefill_worker_id, in_flight, now),)
+        prefill = self.prefill_leg(query, in_flight)
+        first_prefill = prefill.candidates[0] if prefill.candidates else ""
+        return (prefill, self.decode_leg(query, first_prefill, in_flight, now))
+
+    def prefill_leg(self, query: ModelQuery, in_flight: Mapping[str, int]) -> Leg:
+        """Order prefill workers by the ring, from the prompt's key on, within the load bound.
+
+        Parameters
+        ----------
+        query : ModelQuery
+            What is asked for.
+        in_flight : Mapping[str, int]
+            Requests in flight on each worker as far as known.
+
+        Returns
+        -------
+        Leg
+            The worker that should hold the prefix first.
+        """
+        pool = self._pool(query.service, Stage.PREFILL, query.model)
+        bound = self._load_bound(pool, in_flight)
+        considered = pool.ring.preference(query.key, CONSIDERED_WORKERS)
+        ordered = sorted(
+            considered,
+            key=lambda worker_id: (
+                worker_id in query.tried_prefill,
+                in_flight.get(worker_id, 0) + 1 > bound,
+            ),
+        )
+        return self._leg(Stage.PREFILL, ordered, query.tried_prefill)
+
+    def decode_leg(
+        self, query: ModelQuery, prefill_worker_id: str, in_flight: Mapping[str, int], now: float
+    ) -> Leg:
+        """Order decode workers by the cost of the link from a prefill worker, then by load.
+
+        Avoided pairs come last, then workers over the load bound, then those in another zone than
+        the prefill worker; the load decides next and the ring makes the order stable. The load
+        bound goes before the zone: otherwise a zone with one decode worker would drown it.
+
+        Parameters
+        ----------
+        query : ModelQuery
+            What is asked for.
+        prefill_worker_id : str
+            The prefill worker that was chosen or is likely to be; empty when there is none.
+        in_flight : Mapping[str, int]
+            Requests in flight on each worker as far as known.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Leg
+            The cheapest decode worker first.
+        """
+        pool = self._pool(query.service, Stage.DECODE, query.model)
+        bound = self._load_bound(pool, in_flight)
+        zone = self._zones.get(prefill_worker_id, "")
+        considered = self._considered_for_decode(pool, zone, request_key(query.request_id))
+
+        def cost(worker_id: str) -> tuple[bool, bool, bool, bool, int]:
+            load = in_flight.get(worker_id, 0)
+            return (
+                worker_id in query.tried_decode,
+                self._avoidance.is_avoided(prefill_worker_id, worker_id, now),
+                load + 1 > bound,
+                self._zones.get(worker_id, "") != zone,
+                load,
+            )
+
+        return self._leg(Stage.DECODE, sorted(considered, key=cost), query.tried_decode)
+
+    def plain_leg(self, query: PlainQuery, in_flight: Mapping[str, int]) -> Leg:
+        """Order the workers of a plain service: the less loaded of two random ones first.
+
+        Parameters
+        ----------
+        query : PlainQuery
+            What is asked for.
+        in_flight : Mapping[str, int]
+            Requests in flight on each worker as far as known.
+
+        Returns
+        -------
+        Leg
+            Ring order by request id, with the lighter of the first two untried ones first.
+        """
+        pool = self._pool(query.service, Stage.PLAIN, "")
+        considered = pool.ring.preference(request_key(query.request_id), CONSIDERED_WORKERS)
+        ordered = sorted(considered, key=lambda worker_id: worker_id in query.tried)
+        untried = sum(worker_id not in query.tried for worker_id in ordered)
+        if untried >= 2 and in_flight.get(ordered[1], 0) < in_flight.get(ordered[0], 0):
+            ordered[0], ordered[1] = ordered[1], ordered[0]
+        return self._leg(Stage.PLAIN, ordered, query.tried)
+
+    def eligible(self, service: str, stage: Stage, model: str = "") -> tuple[str, ...]:
+        """Return the eligible workers of a service and stage, sorted.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        stage : Stage
+            Part that the workers play.
+        model : str
+            Model that they must serve; ignored for plain workers.
+
+        Returns
+        -------
+        tuple[str, ...]
+            Their names.
+        """
+        return self._pool(service, stage, model).worker_ids
+
+    def _leg(self, stage: Stage, ordered: Iterable[str], tried: tuple[str, ...]) -> Leg:
+        candidates = tuple(ordered)[: self._candidate_limit]
+        return Leg(stage=stage, candidates=candidates, tried=tried)
+
+    def _pool(self, service: str, stage: Stage, model: str) -> _Pool:
+        pool_key = (service, stage, "" if stage is Stage.PLAIN else model)
+        pool = self._pools.get(pool_key)
+        if pool is None:
+            pool = self._build_pool(*pool_key)
+            if pool.worker_ids:
+                # Models are named by callers: an unknown one must not stay in memory.
+                self._pools[pool_key] = pool
+        return pool
+
+    def _build_pool(self, service: str, stage: Stage, model: str) -> _Pool:
+        workers = [
+            worker
+            for worker in self._workers.get((service, stage), [])
+            if stage is Stage.PLAIN or model in worker.models
+        ]
+        by_zone: dict[str, list[str]] = {}
+        for worker in workers:
+            by_zone.setdefault(worker.zone, []).append(worker.worker_id)
+        worker_ids = tuple(sorted(worker.worker_id for worker in workers))
+        zone_rings = {
+            zone: self._rings.ring(service, stage, tuple(sorted(zone_ids)))
+            for zone, zone_ids in by_zone.items()
+        }
+        ring = self._rings.ring(service, stage, worker_ids)
+        return _Pool(ring, zone_rings, worker_ids)
+
+    def _load_bound(self, pool: _Pool, in_flight: Mapping[str, int]) -> float:
+        if not pool.worker_ids:
+            return math.inf
+        total = sum(in_flight.get(worker_id, 0) for worker_id in pool.worker_ids)
+        mean = (total + 1) / len(pool.worker_ids)
+        return max(math.ceil(self._load_bound_factor * mean), MINIMUM_LOAD_BOUND)
+
+    @staticmethod
+    def _considered_for_decode(pool: _Pool, zone: str, key: int) -> list[str]:
+        """Take workers of the same zone and of all zones, so that neither crowds out the other."""
+        half = CONSIDERED_WORKERS // 2
+        near_ring = pool.zone_rings.get(zone)
+        near = near_ring.preference(key, half) if near_ring is not None else ()
+        anywhere = pool.ring.preference(key, CONSIDERED_WORKERS)
+        return list(dict.fromkeys((*near, *anywhere)))[:CONSIDERED_WORKERS]
+
+
+def model_query(service: str, model: str, request_id: str, prompt: str) -> ModelQuery:
+    """Make the query of a request's first attempt.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    model : str
+        Model of the request.
+    request_id : str
+        Identifier of the request.
+    prompt : str
+        The whole prompt.
+
+    Returns
+    -------
+    ModelQuery
+        A query with nothing tried yet.
+    """
+    return ModelQuery(
+        service=service, model=model, request_id=request_id, key=prefix_key(model, prompt)
+    )
--- /dev/null
+++ b/src/orchidpath/routing/request_core.py
@@ -0,0 +1,238 @@
+"""State of one request and the steps that its transitions share; see :mod:`.attempt`.
+
+Steps return instructions and leave the request in the phase that follows. Nothing here looks at
+events; which step follows which event is decided in :mod:`.attempt`.
+"""
+
+from collections.abc import Sequence
+from enum import StrEnum
+from random import Random
+
+import msgspec
+
+from orchidpath.circuit.classification import AttemptObservation, Observed, classify
+from orchidpath.routing import request_events as events
+from orchidpath.routing.backoff import full_jitter
+from orchidpath.routing.handover import HandoverFailure, HandoverLedger, charge_of
+from orchidpath.routing.request_decode import DecodeProgress
+from orchidpath.routing.request_errors import (
+    GiveUp,
+    no_candidates,
+    out_of_budget,
+    stream_broken,
+)
+from orchidpath.routing.request_events import RequestInstruction, RequestPlan
+from orchidpath.routing.request_guards import NO_GUARD_DISABLED, Guard
+from orchidpath.routing.request_orders import OrderLedger
+from orchidpath.routing.request_reports import AttemptRecord, ReportBook, handover_evidence
+from orchidpath.routing.request_retries import RetryState
+from orchidpath.routing.retry_budget import RetryBudget
+from orchidpath.wire.backend import ErrorBody, Ran
+from orchidpath.wire.messages import AttemptEffect
+from orchidpath.wire.records import Stage
+
+CANCEL_TIMEOUT_SECONDS = 1.0
+"""How long a caller waits for the promise that a call of unknown fate did not run."""
+
+DEADLINE_CHARGE_SHARE = 0.5
+"""A worker that held an order for this share of the route's deadline counts as timed out."""
+
+ATTEMPT_ID_BITS = 96
+"""Enough that no two attempts of a fleet share an id."""
+
+
+class Phase(StrEnum):
+    """Where a request stands."""
+
+    NEW = "new"
+    DECIDING = "deciding"
+    READING_PROMPT = "reading_prompt"
+    DECODING = "decoding"
+    STREAMING = "streaming"
+    CALLING = "calling"
+    CANCELLING = "cancelling"
+    BACKING_OFF = "backing_off"
+    ENDED = "ended"
+
+
+class SharedRouting(msgspec.Struct, frozen=True, kw_only=True):
+    """What the requests of one router share; the budget is that of the request's service."""
+
+    retry_budget: RetryBudget
+    handover: HandoverLedger
+    random: Random
+
+
+class RequestCore:
+    """What is known about one request, and the steps that several transitions take.
+
+    Parameters
+    ----------
+    plan
+        The request.
+    shared
+        Retry budget of the request's service, hand-over ledger and randomness.
+    disabled_guards
+        For tests only: safety rules to leave out.
+    """
+
+    def __init__(
+        self,
+        plan: RequestPlan,
+        shared: SharedRouting,
+        disabled_guards: frozenset[Guard] = NO_GUARD_DISABLED,
+    ) -> None:
+        self._plan = plan
+        self._shared = shared
+        self._disabled = disabled_guards
+        self._phase = Phase.NEW
+        self._orders = OrderLedger(plan.route)
+        self._reports = ReportBook(plan.request_id, disabled_guards)
+        self._retries = RetryState(plan, disabled_guards)
+        self._attempt_id = ""
+        self._attempt: AttemptRecord | None = None
+        self._decode = self._new_decode()
+        self._timer_number = 0
+        self._sent_at = 0.0
+        self._give_up = no_candidates("no worker could serve this request")
+
+    @property
+    def phase(self) -> Phase:
+        """Where the request stands."""
+        return self._phase
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the caller has got everything that it will get."""
+        return self._phase is Phase.ENDED
+
+    def _next_attempt(self, now: float) -> list[RequestInstruction]:
+        self._retries.attempts_made += 1
+        self._attempt_id = f"{self._shared.random.getrandbits(ATTEMPT_ID_BITS):024x}"
+        self._attempt = None
+        self._decode = self._new_decode()
+        self._phase = Phase.DECIDING
+        return [events.AskDecision(attempt_id=self._attempt_id, legs=self._retries.legs(now))]
+
+    def _new_decode(self) -> DecodeProgress:
+        return DecodeProgress(
+            self._plan.request_id, self._attempt_id, self._plan.streaming, self._disabled
+        )
+
+    def _record_order(self, stage: Stage, now: float) -> str:
+        # In doubt from here on: the shell may have written bytes when it fails.
+        worker_id = self._current().worker(stage)
+        self._retries.note_order(stage, worker_id)
+        self._orders.add(self._attempt_id, worker_id, stage)
+        self._sent_at = now
+        return worker_id
+
+    def _charge(
+        self, stage: Stage, effect: AttemptEffect, error: ErrorBody | None, reason: str, now: float
+    ) -> Sequence[RequestInstruction]:
+        attempt = self._current()
+        evidence = handover_evidence(error) if stage is Stage.DECODE else None
+        if evidence is not None and not self._decode.is_handed_over:
+            failure = HandoverFailure(
+                prefill_worker_id=attempt.worker(Stage.PREFILL),
+                decode_worker_id=attempt.worker(Stage.DECODE),
+                evidence=evidence,
+            )
+            verdict = self._shared.handover.record_failure(failure, now)
+            return self._reports.report_handover(attempt, charge_of(verdict), reason)
+        failed = self._reports.report(attempt, stage, effect, reason)
+        if stage is Stage.DECODE:
+            return [*failed, *self._reports.report_rest(attempt, AttemptEffect.SUCCESS, "read")]
+        return [*failed, *self._neutral(attempt, "not used")]
+
+    def _neutral(self, attempt: AttemptRecord, reason: str) -> Sequence[RequestInstruction]:
+        return self._reports.report_rest(attempt, AttemptEffect.GATEWAY, reason)
+
+    def _await_promise(self, now: float) -> RequestInstruction:
+        seconds = min(CANCEL_TIMEOUT_SECONDS, max(self._plan.deadline - now, 0.0))
+        return self._timer(events.TimerKind.CANCEL, seconds, Phase.CANCELLING)
+
+    def _cancels(self) -> Sequence[RequestInstruction]:
+        """Cancel what may still run, and free the KV cache of a prompt read that is not used."""
+        workers = []
+        order = self._orders.current
+        if order is not None and self._orders.is_in_doubt():
+            workers.append(order.worker_id)
+        unused_read = order is not None and order.stage is Stage.DECODE
+        if unused_read and not self._decode.is_handed_over:
+            workers.append(self._current().worker(Stage.PREFILL))
+        return [
+            events.Cancel(
+                worker_id=worker_id,
+                attempt_id=self._attempt_id,
+                timeout_seconds=CANCEL_TIMEOUT_SECONDS,
+            )
+            for worker_id in workers
+        ]
+
+    def _may_send_again(self) -> bool:
+        if Guard.PROMISE_BEFORE_RESEND in self._disabled:
+            return True
+        return self._orders.may_send_again()
+
+    def _try_again(self, wait_seconds: float, now: float) -> list[RequestInstruction]:
+        """Retry if every bound allows it, otherwise answer at once (paper, bounded retries)."""
+        if not self._may_send_again() or not self._retries.attempts_left():
+            return self._reject(self._give_up)
+        if not self._retries.fits(wait_seconds, now):
+            return self._reject(self._give_up)
+        budget = self._shared.retry_budget
+        if not budget.try_spend(now) and Guard.RETRY_BUDGET not in self._disabled:
+            give_up = out_of_budget(self._give_up.message, budget.retry_after(now))
+            return self._reject(give_up)
+        if wait_seconds == 0.0:
+            return self._next_attempt(now)
+        return [self._timer(events.TimerKind.BACKOFF, wait_seconds, Phase.BACKING_OFF)]
+
+    def _jitter(self) -> float:
+        attempts_made = self._retries.attempts_made
+        return full_jitter(attempts_made, self._plan.retry, self._shared.random)
+
+    def _timer(self, kind: events.TimerKind, seconds: float, phase: Phase) -> RequestInstruction:
+        self._phase = phase
+        self._timer_number += 1
+        return events.StartTimer(kind=kind, number=self._timer_number, seconds=seconds)
+
+    def _charge_deadline(self, now: float) -> Sequence[RequestInstruction]:
+        """Charge a worker that held its order for most of what the route allows.
+
+        A shorter deadline is the caller's choice, and no worker is charged for it.
+        """
+        order = self._orders.current
+        held_seconds = now - self._sent_at
+        allowed_seconds = DEADLINE_CHARGE_SHARE * self._plan.route.deadline_seconds
+        if self._attempt is None or order is None or held_seconds < allowed_seconds:
+            return ()
+        effect = classify(AttemptObservation(observed=Observed.TIMED_OUT))
+        return self._reports.report(self._attempt, order.stage, effect, "held past the deadline")
+
+    def _drop(self, reason: str) -> list[RequestInstruction]:
+        """Let go of the running attempt; neutral for every worker not reported yet."""
+        if self._attempt is None:
+            return []
+        return [
+            events.AbortExchange(attempt_id=self._attempt_id),
+            *self._cancels(),
+            *self._neutral(self._attempt, reason),
+        ]
+
+    def _reject(self, give_up: GiveUp) -> list[RequestInstruction]:
+        self._phase = Phase.ENDED
+        return [events.Reject(error=give_up.body(self._plan.request_id, self._ran()))]
+
+    def _break_stream(self, reason: str) -> RequestInstruction:
+        self._phase = Phase.ENDED
+        error = stream_broken(reason).body(self._plan.request_id, Ran.YES)
+        return events.BreakStream(error=error)
+
+    def _ran(self) -> Ran:
+        return Ran.NO if Guard.HONEST_RAN in self._disabled else self._orders.ran()
+
+    def _current(self) -> AttemptRecord:
+        assert self._attempt is not None
+        return self._attempt
--- /dev/null
+++ b/src/orchidpath/routing/request_reports.py
@@ -0,0 +1,129 @@
+"""Reports of one request: once for each attempt and worker, one transient failure a worker.
+
+Each worker counts at most one failure per logical request (paper, "Circuit breakers and bounded
+retries"); a further one is reported as neutral, so that its in-flight mark is still freed.
+"""
+
+from types import MappingProxyType
+
+import msgspec
+
+from orchidpath.routing.handover import HandoverCharge, HandoverEvidence
+from orchidpath.routing.request_events import Report
+from orchidpath.routing.request_guards import NO_GUARD_DISABLED, Guard
+from orchidpath.wire.backend import ErrorBody, ErrorCode
+from orchidpath.wire.messages import AttemptEffect, AttemptReport, Choice
+from orchidpath.wire.records import Stage
+
+_HANDOVER_EVIDENCE = MappingProxyType(
+    {
+        ErrorCode.HANDLE_LAPSED: HandoverEvidence.HANDLE_LAPSED,
+        ErrorCode.HANDLE_MISMATCH: HandoverEvidence.HANDLE_MISMATCH,
+        ErrorCode.UPSTREAM_REFUSED: HandoverEvidence.HANDLE_DENIED,
+        ErrorCode.UPSTREAM_FAILED: HandoverEvidence.TRANSFER_FAILED,
+    }
+)
+"""What a decode worker's error code says about its hand-over (backend protocol)."""
+
+
+def handover_evidence(error: ErrorBody | None) -> HandoverEvidence | None:
+    """Return what a decode worker's error says about the hand-over; None when nothing."""
+    return _HANDOVER_EVIDENCE.get(error.code) if error is not None else None
+
+
+class AttemptRecord(msgspec.Struct, kw_only=True):
+    """One attempt: the pair (or the one worker) chosen for it, and what was reported of each."""
+
+    attempt_id: str
+    choices: dict[Stage, Choice]
+    unreported: set[Stage]
+
+    @classmethod
+    def of(cls, attempt_id: str, choices: tuple[Choice, ...]) -> "AttemptRecord":
+        """Make the record of a decided attempt."""
+        by_stage = {choice.stage: choice for choice in choices}
+        return cls(attempt_id=attempt_id, choices=by_stage, unreported=set(by_stage))
+
+    def worker(self, stage: Stage) -> str:
+        """Return the worker of a stage."""
+        return self.choices[stage].worker_id
+
+
+class ReportBook:
+    """Makes the reports of one request.
+
+    Parameters
+    ----------
+    request_id
+        The request.
+    disabled_guards
+        For tests only: safety rules to leave out.
+    """
+
+    def __init__(
+        self, request_id: str, disabled_guards: frozenset[Guard] = NO_GUARD_DISABLED
+    ) -> None:
+        self._request_id = request_id
+        self._disabled = disabled_guards
+        self._failed_workers: set[str] = set()
+
+    def report(
+        self, attempt: AttemptRecord, stage: Stage, effect: AttemptEffect, reason: str
+    ) -> list[Report]:
+        """Report how an attempt ended for one of its workers.
+
+        Parameters
+        ----------
+        attempt
+            The attempt.
+        stage
+            Which of its workers.
+        effect
+            Effect on that worker.
+        reason
+            In words, for the decision trace.
+
+        Returns
+        -------
+        list of Report
+            Empty when that worker was reported before or has no part in the attempt.
+        """
+        if stage not in attempt.unreported:
+            return []
+        attempt.unreported.discard(stage)
+        choice = attempt.choices[stage]
+        report = AttemptReport(
+            request_id=self._request_id,
+            attempt_id=attempt.attempt_id,
+            worker_id=choice.worker_id,
+            effect=self._once(choice.worker_id, effect),
+            probe_generation=choice.probe_generation,
+        )
+        return [Report(report=report, stage=stage, reason=reason)]
+
+    def report_rest(
+        self, attempt: AttemptRecord, effect: AttemptEffect, reason: str
+    ) -> list[Report]:
+        """Report every worker of an attempt that was not reported yet."""
+        reports: list[Report] = []
+        for stage in sorted(attempt.unreported):
+            reports.extend(self.report(attempt, stage, effect, reason))
+        return reports
+
+    def report_handover(
+        self, attempt: AttemptRecord, charge: HandoverCharge, reason: str
+    ) -> list[Report]:
+        """Report both workers of a pair whose hand-over failed."""
+        return [
+            *self.report(attempt, Stage.PREFILL, charge.prefill_effect, reason),
+            *self.report(attempt, Stage.DECODE, charge.decode_effect, reason),
+        ]
+
+    def _once(self, worker_id: str, effect: AttemptEffect) -> AttemptEffect:
+        if effect is not AttemptEffect.TRANSIENT:
+            return effect
+        counted = worker_id in self._failed_workers
+        if counted and Guard.ONE_FAILURE_A_WORKER not in self._disabled:
+            return AttemptEffect.GATEWAY
+        self._failed_workers.add(worker_id)
+        return effect
--- /dev/null
+++ b/tests/routing/request_machine_driver.py
@@ -0,0 +1,206 @@
+"""Drives a request machine by scripted events; shared by the tests of the machine."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import TypeVar
+
+from orchidpath.circuit.classification import AttemptObservation, Observed
+from orchidpath.routing import request_events as events
+from orchidpath.routing.attempt import RequestMachine
+from orchidpath.routing.handover import HandoverLedger
+from orchidpath.routing.request_core import SharedRouting
+from orchidpath.routing.request_guards import Guard
+from orchidpath.routing.retry_budget import RetryBudget
+from orchidpath.wire.backend import CacheHandle, DecodeFrame, ErrorBody, ErrorCode, FrameKind, Ran
+from orchidpath.wire.configuration import RetryPolicy, Route
+from orchidpath.wire.messages import AttemptEffect, Choice, DecisionReply, Denial
+from orchidpath.wire.records import Stage
+
+REQUEST = "request-1"
+GENEROUS = RetryPolicy(budget_minimum_per_second=100.0)
+
+T = TypeVar("T")
+
+
+class Driver:
+    """One request: feeds events, keeps every instruction, and picks workers in turn."""
+
+    def __init__(
+        self,
+        *,
+        model: bool = True,
+        streaming: bool = True,
+        repeatable: bool = False,
+        repeat_prompt_read: bool = False,
+        deadline: float = 30.0,
+        retry: RetryPolicy = GENEROUS,
+        seed: int = 1,
+        handover: HandoverLedger | None = None,
+        disabled: Sequence[Guard] = (),
+    ) -> None:
+        route = Route(
+            name="route",
+            service="service",
+            repeatable=repeatable,
+            repeat_prompt_read=repeat_prompt_read,
+        )
+        plan = events.RequestPlan(
+            request_id=REQUEST,
+            route=route,
+            retry=retry,
+            is_model=model,
+            streaming=streaming,
+            deadline=deadline,
+        )
+        self.handover = handover or HandoverLedger()
+        self.budget = RetryBudget(retry)
+        shared = SharedRouting(
+            retry_budget=self.budget, handover=self.handover, random=Random(seed)
+        )
+        self.machine = RequestMachine(plan, shared, frozenset(disabled))
+        self.model = model
+        self.now = 0.0
+        self.log: list[events.RequestInstruction] = []
+        self.last: list[events.RequestInstruction] = []
+        self.sequence = 0
+
+    def feed(self, event: events.RequestEvent) -> list[events.RequestInstruction]:
+        self.last = self.machine.handle(event, self.now)
+        self.log.extend(self.last)
+        return self.last
+
+    def all(self, kind: type[T]) -> list[T]:
+        return [one for one in self.log if isinstance(one, kind)]
+
+    def newest(self, kind: type[T]) -> T:
+        return self.all(kind)[-1]
+
+    @property
+    def attempt_id(self) -> str:
+        return self.newest(events.AskDecision).attempt_id
+
+    def admit(self) -> None:
+        self.feed(events.Admitted())
+
+    def decide(self, *workers: str) -> list[events.RequestInstruction]:
+        """Choose workers: prefill and decode, or the one of a plain call."""
+        stages = (Stage.PREFILL, Stage.DECODE) if self.model else (Stage.PLAIN,)
+        choices = tuple(
+            Choice(stage=stage, worker_id=worker)
+            for stage, worker in zip(stages, workers, strict=True)
+        )
+        reply = DecisionReply(correlation=0, term=1, choices=choices)
+        self.sequence = 0
+        return self.feed(events.DecisionMade(attempt_id=self.attempt_id, reply=reply))
+
+    def deny(self, denial: Denial, retry_after: float = 7.0) -> list[events.RequestInstruction]:
+        reply = DecisionReply(correlation=0, term=1, denial=denial, retry_after_seconds=retry_after)
+        return self.feed(events.DecisionMade(attempt_id=self.attempt_id, reply=reply))
+
+    def handle(self, worker: str, **changes: str) -> CacheHandle:
+        bound = {"request_id": REQUEST, "attempt_id": self.attempt_id, "worker_id": worker}
+        return CacheHandle(
+            handle_id="handle",
+            incarnation="i",
+            url="http://127.0.0.1:1",
+            prompt_tokens=10,
+            expires_in_seconds=30.0,
+            **(bound | changes),
+        )
+
+    def read(self, worker: str, **changes: str) -> list[events.RequestInstruction]:
+        handle = self.handle(worker, **changes)
+        event = events.PrefillSucceeded(
+            attempt_id=self.attempt_id, request_id=REQUEST, handle=handle
+        )
+        return self.feed(event)
+
+    def frame(
+        self,
+        kind: FrameKind,
+        *,
+        attempt_id: str | None = None,
+        sequence: int | None = None,
+        error: ErrorBody | None = None,
+    ) -> list[events.RequestInstruction]:
+        if sequence is None:
+            sequence = self.sequence
+            self.sequence += 1
+        frame = DecodeFrame(
+            request_id=REQUEST,
+            attempt_id=attempt_id or self.attempt_id,
+            sequence=sequence,
+            kind=kind,
+            text="x",
+            error=error,
+        )
+        return self.feed(events.DecodeFrameReceived(attempt_id=self.attempt_id, frame=frame))
+
+    def error(
+        self, code: ErrorCode, ran: Ran, retry_after: float | None = None, attempt_id: str = ""
+    ) -> ErrorBody:
+        return ErrorBody(
+            code=code,
+            message="no",
+            ran=ran,
+            attempt_id=attempt_id or self.attempt_id,
+            retry_after_seconds=retry_after,
+        )
+
+    def fail(
+        self, observed: Observed = Observed.CONNECTION_RESET, *, left: bool = True
+    ) -> list[events.RequestInstruction]:
+        event = events.AttemptFailed(
+            attempt_id=self.attempt_id,
+            observation=AttemptObservation(observed=observed),
+            reason=observed.value,
+            order_left=left,
+        )
+        return self.feed(event)
+
+    def refuse(
+        self, error: ErrorBody, echoed_attempt_id: str | None = None
+    ) -> list[events.RequestInstruction]:
+        event = events.AttemptFailed(
+            attempt_id=self.attempt_id,
+            observation=AttemptObservation(observed=Observed.REFUSED, error_code=error.code),
+            reason=error.message,
+            order_left=True,
+            echoed_attempt_id=self.attempt_id if echoed_attempt_id is None else echoed_attempt_id,
+            error=error,
+        )
+        return self.feed(event)
+
+    def cancel_answer(
+        self, worker: str, ran: Ran, *, same_incarnation: bool = True, attempt_id: str = ""
+    ) -> list[events.RequestInstruction]:
+        event = events.CancelAnswered(
+            worker_id=worker,
+            attempt_id=attempt_id or self.attempt_id,
+            is_same_incarnation=same_incarnation,
+            ran=ran,
+        )
+        return self.feed(event)
+
+    def elapse(self) -> list[events.RequestInstruction]:
+        timer = self.newest(events.StartTimer)
+        self.now += timer.seconds
+        return self.feed(events.TimerElapsed(kind=timer.kind, number=timer.number))
+
+    def sends(self) -> list[events.RequestInstruction]:
+        return [one for one in self.log if isinstance(one, events.SEND_INSTRUCTIONS)]
+
+    def reports(self, worker: str) -> list[AttemptEffect]:
+        return [
+            one.report.effect for one in self.all(events.Report) if one.report.worker_id == worker
+        ]
+
+    def rejected(self) -> ErrorBody:
+        assert self.machine.is_ended
+        return self.newest(events.Reject).error
+
+    def is_retrying(self) -> bool:
+        """Whether the newest instructions lead to a further attempt."""
+        timers = [one for one in self.last if isinstance(one, events.StartTimer)]
+        waits = any(timer.kind is events.TimerKind.BACKOFF for timer in timers)
+        return waits or any(isinstance(one, events.AskDecision) for one in self.last)
--- /dev/null
+++ b/tests/routing/test_pairing.py
@@ -0,0 +1,182 @@
+"""Preference orders of prefill, decode and plain legs."""
+
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidpath.routing.handover import PairAvoidance
+from orchidpath.routing.pairing import (
+    CANDIDATE_LIMIT,
+    ModelQuery,
+    PairSelector,
+    PlainQuery,
+    RingCache,
+    model_query,
+)
+from orchidpath.routing.ring import HashRing, prefix_key
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.records import FleetView, Stage, WorkerRecord, WorkerStatus
+
+DRAINING, GONE = WorkerStatus.DRAINING, WorkerStatus.GONE
+PROMPT = "cellar " * 400
+
+
+def worker(
+    worker_id: str,
+    *,
+    zone: str = "z1",
+    service: str = "wine",
+    status: WorkerStatus = WorkerStatus.READY,
+    held: bool = False,
+    model: str = "m",
+) -> WorkerRecord:
+    stages = {"p": Stage.PREFILL, "d": Stage.DECODE, "s": Stage.PLAIN}
+    return WorkerRecord(
+        worker_id=worker_id,
+        incarnation="i",
+        service=service,
+        stage=stages[worker_id[0]],
+        url="http://10.0.0.1:1",
+        models=(model,),
+        zone=zone,
+        status=status,
+        held=held,
+    )
+
+
+def selector_of(
+    workers: Sequence[WorkerRecord], avoidance: PairAvoidance | None = None
+) -> PairSelector:
+    selector = PairSelector(avoidance or PairAvoidance())
+    view = FleetView(
+        revision=1,
+        configuration_version=1,
+        configuration=Configuration(),
+        workers=tuple(workers),
+    )
+    selector.update_view(view)
+    return selector
+
+
+def query(**changes: object) -> ModelQuery:
+    fields = {"service": "wine", "model": "m", "request_id": "r", "key": prefix_key("m", PROMPT)}
+    return ModelQuery(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+PREFILL = [worker(f"p{number}") for number in range(5)]
+DECODE = [worker(f"d{number}", zone=f"z{number % 2 + 1}") for number in range(6)]
+
+
+@pytest.mark.parametrize(
+    "excluded",
+    [
+        worker("p9", status=DRAINING),
+        worker("p9", status=GONE),
+        worker("p9", held=True),
+        worker("p9", model="other"),
+        worker("p9", service="puzzle"),
+    ],
+)
+def test_only_ready_workers_of_the_service_and_model_that_are_not_held(
+    excluded: WorkerRecord,
+) -> None:
+    selector = selector_of([*PREFILL, excluded, *DECODE])
+    prefill, decode = selector.model_legs(query(), {}, 0.0)
+    assert sorted(prefill.candidates) == [f"p{number}" for number in range(5)]
+    assert sorted(decode.candidates) == [f"d{number}" for number in range(6)]
+    assert selector.model_legs(query(model="unknown"), {}, 0.0)[0].candidates == ()
+
+
+def test_prefill_follows_the_ring_of_the_prefix_and_spills_over_the_load_bound() -> None:
+    selector = selector_of(PREFILL)
+    ring_order = HashRing.build([record.worker_id for record in PREFILL])
+    expected = ring_order.preference(prefix_key("m", PROMPT), 5)
+    first = model_query("wine", "m", "r", PROMPT)
+    assert selector.prefill_leg(first, {}).candidates == expected
+    assert selector.prefill_leg(first, {expected[0]: 1}).candidates == expected
+    spilled = selector.prefill_leg(first, {expected[0]: 5}).candidates
+    assert spilled == (*expected[1:], expected[0])
+    evenly_loaded = {record.worker_id: 9 for record in PREFILL}
+    assert selector.prefill_leg(first, evenly_loaded).candidates == expected
+
+
+def test_tried_workers_come_last_whatever_their_load() -> None:
+    selector = selector_of([*PREFILL, *DECODE])
+    order = selector.prefill_leg(query(), {}).candidates
+    leg = selector.prefill_leg(query(tried_prefill=order[:2]), {order[2]: 50})
+    assert leg.candidates == (order[3], order[4], order[2], order[0], order[1])
+    assert leg.tried == order[:2]
+    decode = selector.decode_leg(query(tried_decode=("d0", "d2")), "p0", {"d4": 90}, 0.0)
+    assert set(decode.candidates[-2:]) == {"d0", "d2"}
+
+
+def test_decode_prefers_the_zone_then_load_and_puts_avoided_pairs_last() -> None:
+    avoidance = PairAvoidance()
+    avoidance.avoid("p1", "d0", 10.0)
+    selector = selector_of([*PREFILL, *DECODE], avoidance)
+    candidates = selector.decode_leg(query(), "p1", {"d2": 1, "d3": 1}, 0.0).candidates
+    assert candidates[:2] == ("d4", "d2")
+    assert set(candidates[2:4]) == {"d1", "d5"}
+    assert candidates[4:] == ("d3", "d0")
+    after = selector.decode_leg(query(), "p1", {"d2": 1}, 10.0).candidates
+    assert set(after[:2]) == {"d0", "d4"}
+
+
+def test_decode_worker_over_the_load_bound_gives_way_to_another_zone() -> None:
+    selector = selector_of([worker("p1"), worker("d1"), worker("d2", zone="z2")])
+    assert selector.decode_leg(query(), "p1", {"d1": 1}, 0.0).candidates == ("d1", "d2")
+    assert selector.decode_leg(query(), "p1", {"d1": 9}, 0.0).candidates == ("d2", "d1")
+
+
+def test_decode_is_paired_with_the_worker_that_holds_the_prompt_already() -> None:
+    selector = selector_of([*PREFILL, worker("p7", zone="z2"), *DECODE])
+    (leg,) = selector.model_legs(query(prefill_worker_id="p7"), {}, 0.0)
+    assert leg.stage is Stage.DECODE
+    assert set(leg.candidates[:3]) == {"d1", "d3", "d5"}
+
+
+def test_plain_leg_takes_the_lighter_of_two() -> None:
+    selector = selector_of([worker(f"s{number}", service="stock") for number in range(4)])
+    plain = PlainQuery(service="stock", request_id="r1")
+    order = selector.plain_leg(plain, {}).candidates
+    assert len(set(order)) == 4
+    assert selector.plain_leg(plain, {order[0]: 2, order[1]: 1}).candidates[0] == order[1]
+    again = PlainQuery(service="stock", request_id="r1", tried=order[:3])
+    assert selector.plain_leg(again, {order[3]: 90}).candidates == (order[3], *order[:3])
+    assert selector.plain_leg(PlainQuery(service="none", request_id="r"), {}).candidates == ()
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 60), st.integers(0, 60), st.integers(0, 2**64 - 1), st.text(max_size=5))
+def test_legs_are_bounded_distinct_and_the_same_on_every_router(
+    prefill_count: int, decode_count: int, key: int, request_id: str
+) -> None:
+    workers = [
+        *(worker(f"p{number}") for number in range(prefill_count)),
+        *(worker(f"d{number}", zone=f"z{number % 3}") for number in range(decode_count)),
+    ]
+    asked = query(key=key, request_id=request_id)
+    selector, reversed_selector = selector_of(workers), selector_of(workers[::-1])
+    legs = selector.model_legs(asked, {}, 0.0)
+    assert legs == reversed_selector.model_legs(asked, {}, 0.0)
+    eligible = reversed_selector.eligible("wine", Stage.DECODE, "m")
+    assert list(eligible) == sorted(f"d{number}" for number in range(decode_count))
+    for leg, count in zip(legs, (prefill_count, decode_count), strict=True):
+        assert len(set(leg.candidates)) == len(leg.candidates) == min(count, CANDIDATE_LIMIT)
+
+
+def test_rings_survive_a_view_change_and_are_bounded() -> None:
+    cache = RingCache(capacity=2)
+    first = cache.ring("wine", Stage.PREFILL, ("a", "b"))
+    assert cache.ring("wine", Stage.PREFILL, ("a", "b")) is first
+    assert cache.ring("wine", Stage.DECODE, ("a", "b")) is not first
+    cache.ring("wine", Stage.PREFILL, ("a",))
+    assert len(cache) == 2
+    selector = selector_of(PREFILL)
+    before = selector.prefill_leg(query(), {}).candidates
+    view = FleetView(revision=2, configuration_version=1, configuration=Configuration())
+    selector.update_view(view)
+    assert selector.prefill_leg(query(), {}).candidates == ()
+    assert before != ()
