--- /dev/null
+++ b/src/orchidpath/control/core.py
@@ -0,0 +1,472 @@
+"""The control process's decisions: consensus, the replicated state and the leader's duties; pure.
+
+Events come in (ticks, messages, operators' orders), typed effects go out in an order that the
+shell keeps. Time is a monotonic value, randomness a generator; the simulation drives this very
+module (docs/design/overview.md).
+"""
+
+import random as random_module
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.consensus.core import RaftCore
+from orchidpath.consensus.effects import (
+    Apply,
+    ApplySnapshot,
+    Effect,
+    LeadershipChanged,
+    PersistEntries,
+    PersistHardState,
+    PersistSnapshot,
+    Send,
+)
+from orchidpath.consensus.errors import MembershipChangeError, NotLeaderError
+from orchidpath.consensus.messages import RaftMessage
+from orchidpath.consensus.types import EntryKind, LogEntry, ReadTicket, Role
+from orchidpath.control.confirmation import ConfirmationGuard
+from orchidpath.control.effects import (
+    ControlEffect,
+    OrderAnswered,
+    ReadFailed,
+    ReadReady,
+    SendToMember,
+    SendToNode,
+)
+from orchidpath.control.leader import LeaderDuties, not_leader_reply
+from orchidpath.control.member_manager import MemberManager, MemberPolicy
+from orchidpath.control.orders import OrderBook
+from orchidpath.state.commands import (
+    Command,
+    LeaderStarted,
+    RegisterControlMember,
+    SubmitConfiguration,
+    encode_command,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import OrderResult
+from orchidpath.wire.messages import (
+    AttemptReports,
+    CapacityObserved,
+    ConsensusMessage,
+    ControlMembers,
+    CounterReport,
+    DecisionRequest,
+    FleetUpdateRequest,
+    ForwardedAnnouncements,
+    JoinRequest,
+    Message,
+    OrderReply,
+    OrderRequest,
+    ReadIndexReply,
+    ReadIndexRequest,
+    RouterHeartbeat,
+    WhoIsControl,
+    WorkerCircuitsReply,
+    WorkerCircuitsRequest,
+)
+from orchidpath.wire.records import ControlMember
+
+VOTER_HEARD_SECONDS = 1.0
+"""A voter heard within this long is waited for before an order is called confirmed."""
+
+READ_WAIT_SECONDS = 1.0
+"""A linearizable read that is not ready after this long has failed."""
+
+
+class _PendingRead(msgspec.Struct, frozen=True):
+    key: int
+    ticket: ReadTicket
+
+
+class ControlCore:
+    """One control replica.
+
+    Parameters
+    ----------
+    member
+        This replica as it registers itself.
+    raft
+        Its consensus core, already restored from disk.
+    policy
+        How many voters to keep.
+    formation_voters
+        Voters wanted before a new fleet takes its first order.
+    random
+        Source of jitter.
+    disabled_guards
+        For tests only.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember,
+        raft: RaftCore,
+        policy: MemberPolicy,
+        formation_voters: int,
+        random: random_module.Random,
+        disabled_guards: frozenset[ConfirmationGuard] = frozenset(),
+    ) -> None:
+        self.member = member
+        self.raft = raft
+        self.state = FleetState()
+        self.duties: LeaderDuties | None = None
+        self._policy = policy
+        self._formation_voters = formation_voters
+        self._random = random
+        self._disabled_guards = disabled_guards
+        self._members = MemberManager(policy, 0.0)
+        self._orders = OrderBook()
+        self._reads: list[_PendingRead] = []
+        self._outbox: list[ControlEffect] = []
+        self._proposals: list[Command] = []
+        self._forwarded: dict[int, tuple[str, int]] = {}
+        self._next_forwarded_key = -1
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and has taken up a leader's duties."""
+        return self.duties is not None and self.raft.role is Role.LEADER
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica is in the newest membership that it knows."""
+        return self.member.node_id in self.raft.membership.members()
+
+    def has_authority(self, now: float) -> bool:
+        """Whether this leader may speak for the fleet at ``now``: it holds its lease."""
+        return self.is_leader and self.raft.has_lease(now)
+
+    def next_deadline(self, now: float) -> float:
+        """When `tick` must be called next, if nothing else happens before."""
+        return self.raft.next_deadline(now)
+
+    def tick(self, now: float) -> list[ControlEffect]:
+        """Let time pass."""
+        self._run(self.raft.tick(now), now)
+        if self.duties is not None and self.raft.has_lease(now):
+            self.duties.tick(now)
+            self._manage_members(now)
+        self._finish_reads(now)
+        return self._drain(now)
+
+    def receive(self, sender_id: str, message: Message, now: float) -> list[ControlEffect]:
+        """Take a message of another process of the fleet.
+
+        Parameters
+        ----------
+        sender_id
+            Node id that the sender's connection was opened with.
+        message
+            The message.
+        now
+            Monotonic seconds.
+        """
+        if isinstance(message, ConsensusMessage):
+            decoded = decode_consensus(message)
+            self._run(self.raft.receive(decoded, now), now)
+        elif isinstance(message, WhoIsControl):
+            self._outbox.append(SendToNode(sender_id, self.control_members()))
+        elif isinstance(message, JoinRequest):
+            self._join_requested(message)
+        elif isinstance(message, OrderRequest):
+            self._take_forwarded_order(sender_id, message, now)
+        elif isinstance(message, ReadIndexRequest):
+            self._answer_read_index(sender_id, message, now)
+        elif isinstance(message, WorkerCircuitsRequest):
+            self._answer_worker_circuits(sender_id, message, now)
+        else:
+            self._receive_for_leader(sender_id, message, now)
+        return self._drain(now)
+
+    def submit(self, key: int, order: SubmitConfiguration, now: float) -> list[ControlEffect]:
+        """Take an operator's order; `OrderAnswered` with ``key`` follows, now or later."""
+        self._submit(key, order, now)
+        return self._drain(now)
+
+    def read(self, key: int, now: float) -> list[ControlEffect]:
+        """Ask for a linearizable read; `ReadReady` or `ReadFailed` with ``key`` follows."""
+        if self.has_authority(now):
+            self._outbox.append(ReadReady(key))
+            return self._drain(now)
+        try:
+            self._reads.append(_PendingRead(key, self.raft.read_barrier(now)))
+        except NotLeaderError:
+            self._outbox.append(ReadFailed(key))
+        return self._drain(now)
+
+    def worker_circuits(self, now: float) -> tuple[WorkerCircuitView, ...]:
+        """Return the operators' view of the circuits; empty unless this replica leads."""
+        return self.duties.circuits.view(now) if self.duties is not None else ()
+
+    def control_members(self) -> ControlMembers:
+        """Answer who the control members are, as far as this replica knows."""
+        membership = self.raft.membership
+        registered = {member.node_id: member for member in self.state.control_members()}
+        members = tuple(
+            ControlMember(
+                node_id=node_id,
+                address=membership.addresses.get(node_id, ""),
+                http_address=registered[node_id].http_address if node_id in registered else "",
+                voter=node_id in membership.voters,
+            )
+            for node_id in membership.members()
+        )
+        return ControlMembers(
+            term=self.raft.term, leader_id=self.raft.leader_id or "", members=members
+        )
+
+    def _receive_for_leader(self, sender_id: str, message: Message, now: float) -> None:
+        if not self.has_authority(now):
+            self._refuse(sender_id, message)
+            return
+        duties = self.duties
+        assert duties is not None
+        match message:
+            case RouterHeartbeat():
+                duties.receive_router_heartbeat(message, now)
+            case FleetUpdateRequest():
+                duties.receive_update_request(sender_id, message)
+            case ForwardedAnnouncements():
+                duties.receive_announcements(message.announcements, now)
+            case DecisionRequest():
+                duties.receive_decision_request(sender_id, message, now)
+            case AttemptReports():
+                duties.receive_reports(sender_id, message, now)
+            case CounterReport():
+                duties.receive_counters(sender_id, message, now)
+            case CapacityObserved():
+                duties.receive_capacity(message, now)
+            case _:
+                pass
+
+    def _refuse(self, sender_id: str, message: Message) -> None:
+        """Tell a sender that took this replica for the leader who leads, as far as is known."""
+        if isinstance(message, DecisionRequest):
+            self._outbox.append(SendToNode(sender_id, not_leader_reply(message, self.raft.term)))
+        if isinstance(message, RouterHeartbeat):
+            self._outbox.append(SendToNode(sender_id, self.control_members()))
+
+    def _submit(self, key: int, order: SubmitConfiguration, now: float) -> None:
+        if not self.has_authority(now):
+            self._outbox.append(self._orders.not_taken(key, "this process does not lead"))
+            return
+        voters = len(self.raft.membership.voters)
+        if self.state.configuration_version == 0 and voters < self._formation_voters:
+            self._outbox.append(self._orders.not_taken(key, "the fleet is still forming"))
+            return
+        try:
+            indexes, effects = self.raft.propose([encode_command(order)], now)
+        except NotLeaderError:
+            self._outbox.append(self._orders.not_taken(key, "this process does not lead"))
+            return
+        self._orders.proposed(key, indexes[0], self.raft.term, now)
+        self._run(effects, now)
+
+    def _take_forwarded_order(self, sender_id: str, request: OrderRequest, now: float) -> None:
+        key = self._next_forwarded_key
+        self._next_forwarded_key -= 1
+        self._forwarded[key] = (sender_id, request.correlation)
+        order = SubmitConfiguration(
+            order_id=request.order_id,
+            base_version=request.base_version,
+            configuration=request.configuration,
+            digest=request.digest,
+        )
+        self._submit(key, order, now)
+
+    def _answer_read_index(self, sender_id: str, request: ReadIndexRequest, now: float) -> None:
+        reply = ReadIndexReply(
+            correlation=request.correlation,
+            available=self.has_authority(now),
+            index=self.raft.commit_index,
+        )
+        self._outbox.append(SendToNode(sender_id, reply))
+
+    def _answer_worker_circuits(
+        self, sender_id: str, request: WorkerCircuitsRequest, now: float
+    ) -> None:
+        available = self.has_authority(now)
+        views = self.worker_circuits(now) if available else ()
+        reply = WorkerCircuitsReply(
+            correlation=request.correlation,
+            available=available,
+            payload=msgspec.msgpack.encode(views),
+        )
+        self._outbox.append(SendToNode(sender_id, reply))
+
+    def _join_requested(self, request: JoinRequest) -> None:
+        if self.duties is None:
+            return
+        member = request.member
+        self._members.join_requested(member.node_id, member.address)
+        self._proposals.append(RegisterControlMember(member=member))
+
+    def _manage_members(self, now: float) -> None:
+        change = self._members.next_change(
+            self.member.node_id, self.raft.membership, self.raft.last_contact, now
+        )
+        if change is None:
+            return
+        try:
+            _, effects = self.raft.propose_membership(change, now)
+        except (MembershipChangeError, NotLeaderError):
+            return  # not safe yet; the same change is named again on a later tick
+        self._run(effects, now)
+
+    def _run(self, effects: Sequence[Effect], now: float) -> None:
+        for effect in effects:
+            match effect:
+                case PersistHardState() | PersistEntries() | PersistSnapshot():
+                    self._outbox.append(effect)
+                case Send():
+                    self._outbox.append(self._to_member(effect))
+                case Apply():
+                    self._apply(effect.entry, now)
+                case ApplySnapshot():
+                    self.state = FleetState.restore(effect.snapshot.data)
+                case LeadershipChanged():
+                    self._leadership_changed(effect, now)
+
+    def _to_member(self, effect: Send) -> SendToMember:
+        address = self.raft.membership.addresses.get(effect.to, "")
+        return SendToMember(effect.to, address, encode_consensus(effect.message))
+
+    def _apply(self, entry: LogEntry, now: float) -> None:
+        if entry.kind is not EntryKind.COMMAND:
+            return
+        previous_revision = self.state.revision
+        result = self.state.apply(entry.index, entry.payload)
+        if self.state.leader_term == self.raft.term and self.raft.role is Role.LEADER:
+            self._take_up_duties(now)
+        if self.duties is not None:
+            self.duties.applied(result.outcome, previous_revision, now)
+        if isinstance(result.outcome, OrderResult):
+            answers = self._orders.applied(entry, result.outcome, self.state.revision, now)
+            self._outbox.extend(answers)
+
+    def _take_up_duties(self, now: float) -> None:
+        """Begin to act as the leader once the first entry of this term has been applied.
+
+        Not before: until then the state may lack entries that earlier leaders have confirmed.
+        """
+        if self.duties is None:
+            self.duties = LeaderDuties(
+                self.raft.term,
+                self.state,
+                self._random,
+                now,
+                self._policy.router_removal_seconds,
+                self._disabled_guards,
+            )
+
+    def _leadership_changed(self, effect: LeadershipChanged, now: float) -> None:
+        self._outbox.append(effect)
+        self.duties = None
+        if effect.role is Role.LEADER:
+            self._members = MemberManager(self._policy, now)
+            self._proposals.append(LeaderStarted(term=effect.term))
+            self._proposals.append(RegisterControlMember(member=self.member))
+            return
+        self._proposals.clear()
+        self._outbox.extend(self._orders.leadership_lost())
+
+    def _finish_reads(self, now: float) -> None:
+        waiting = self._reads
+        self._reads = []
+        for pending in waiting:
+            try:
+                ready = self.raft.read_is_ready(pending.ticket, now) and self.is_leader
+            except NotLeaderError:
+                self._outbox.append(ReadFailed(pending.key))
+                continue
+            if ready:
+                self._outbox.append(ReadReady(pending.key))
+            elif now - pending.ticket.issued_at > READ_WAIT_SECONDS:
+                self._outbox.append(ReadFailed(pending.key))
+            else:
+                self._reads.append(pending)
+
+    def _drain(self, now: float) -> list[ControlEffect]:
+        """Propose what is due, push what changed, and hand out all effects in order."""
+        self._collect_duties()
+        while self._proposals and self.raft.role is Role.LEADER:
+            payloads = [encode_command(command) for command in self._proposals]
+            self._proposals.clear()
+            try:
+                _, effects = self.raft.propose(payloads, now)
+            except NotLeaderError:
+                break
+            self._run(effects, now)
+            self._collect_duties()
+        if self.duties is not None:
+            self.duties.push_updates()
+            self._collect_duties()
+        self._confirm_orders(now)
+        self._compact(now)
+        effects_out = [self._answer_forwarded(effect) for effect in self._outbox]
+        self._outbox = []
+        return effects_out
+
+    def _collect_duties(self) -> None:
+        if self.duties is None:
+            return
+        self._outbox.extend(self.duties.outbox)
+        self._proposals.extend(self.duties.proposals)
+        self.duties.outbox.clear()
+        self.duties.proposals.clear()
+
+    def _confirm_orders(self, now: float) -> None:
+        confirmed = 0
+        if self.duties is not None:
+            confirmed = self.duties.confirmation.confirmed_revision
+        self._outbox.extend(self._orders.confirm(confirmed, self._index_on_heard_voters(now), now))
+
+    def _index_on_heard_voters(self, now: float) -> int:
+        """Return the last index that every voter heard lately has made durable."""
+        indexes = [
+            self.raft.match_index(voter)
+            for voter in self.raft.membership.voters
+            if voter == self.member.node_id
+            or now - self.raft.last_contact(voter) < VOTER_HEARD_SECONDS
+        ]
+        return min(indexes, default=0)
+
+    def _compact(self, now: float) -> None:
+        if not self.raft.compaction_due() or self.state.applied_index <= self.raft.snapshot_index:
+            return
+        effects = self.raft.compact(self.state.snapshot(), self.state.applied_index, now)
+        self._run(effects, now)
+
+    def _answer_forwarded(self, effect: ControlEffect) -> ControlEffect:
+        if not isinstance(effect, OrderAnswered) or effect.key not in self._forwarded:
+            return effect
+        node_id, correlation = self._forwarded.pop(effect.key)
+        reply = OrderReply(
+            correlation=correlation,
+            answer=effect.answer,
+            version=effect.version,
+            reason=effect.reason,
+        )
+        return SendToNode(node_id, reply)
+
+
+_consensus_encoder = msgspec.msgpack.Encoder()
+_consensus_decoder: msgspec.msgpack.Decoder[RaftMessage] = msgspec.msgpack.Decoder(RaftMessage)
+
+
+def encode_consensus(message: RaftMessage) -> ConsensusMessage:
+    """Wrap a consensus message for the wire."""
+    return ConsensusMessage(payload=_consensus_encoder.encode(message))
+
+
+def decode_consensus(message: ConsensusMessage) -> RaftMessage:
+    """Unwrap a consensus message.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        The payload is no consensus message.
+    """
+    return _consensus_decoder.decode(message.payload)
--- /dev/null
+++ b/src/orchidpath/control/effects.py
@@ -0,0 +1,64 @@
+"""What the control core asks its shell to do, beyond the consensus core's own effects.
+
+Executed strictly in list order, like :mod:`orchidpath.consensus.effects`: a message that follows a
+``Persist*`` effect leaves only after that record is synced.
+"""
+
+import msgspec
+
+from orchidpath.consensus.effects import (
+    LeadershipChanged,
+    PersistEntries,
+    PersistHardState,
+    PersistSnapshot,
+)
+from orchidpath.wire.messages import ConsensusMessage, Message, OrderAnswer
+
+
+class SendToMember(msgspec.Struct, frozen=True):
+    """Send a consensus message to a control replica at its wire address; loss is allowed."""
+
+    node_id: str
+    address: str
+    message: ConsensusMessage
+
+
+class SendToNode(msgspec.Struct, frozen=True):
+    """Send a message over the connection that this node holds to this process."""
+
+    node_id: str
+    message: Message
+
+
+class OrderAnswered(msgspec.Struct, frozen=True):
+    """The outcome of an order that this process was asked to submit under ``key``."""
+
+    key: int
+    answer: OrderAnswer
+    version: int = 0
+    reason: str = ""
+
+
+class ReadReady(msgspec.Struct, frozen=True):
+    """A linearizable read asked for under ``key`` may run now on the applied state."""
+
+    key: int
+
+
+class ReadFailed(msgspec.Struct, frozen=True):
+    """A linearizable read asked for under ``key`` cannot be answered by this process."""
+
+    key: int
+
+
+PersistEffect = PersistHardState | PersistEntries | PersistSnapshot
+
+ControlEffect = (
+    PersistEffect
+    | LeadershipChanged
+    | SendToMember
+    | SendToNode
+    | OrderAnswered
+    | ReadReady
+    | ReadFailed
+)
--- /dev/null
+++ b/src/orchidpath/control/leader.py
@@ -0,0 +1,300 @@
+"""What only the leader does: leases, confirmation, liveness and decisions on circuits; pure.
+
+One object per leadership. All of it is soft state: it ends with the leadership and a successor
+rebuilds it from the replicated state, from heartbeats and from the routers' counter reports.
+"""
+
+import random as random_module
+from collections.abc import Iterable
+
+import msgspec
+
+from orchidpath.circuit.table import CircuitTable, Decided, NeedsTransition
+from orchidpath.control.confirmation import ConfirmationGuard, ConfirmationTracker, Roster
+from orchidpath.control.effects import ControlEffect, SendToNode
+from orchidpath.control.liveness import ROUTER_REMOVAL_SECONDS, LivenessTracker
+from orchidpath.state.commands import (
+    CapacityChanged,
+    CircuitChanged,
+    Command,
+    RegisterRouter,
+    RemoveRouter,
+    RevisionConfirmed,
+    WorkerChanged,
+    WorkerGone,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import CapacityResult, CircuitResult, Outcome
+from orchidpath.wire.backend import Announcement
+from orchidpath.wire.messages import (
+    AttemptReports,
+    AttemptReportsReply,
+    CapacityObserved,
+    CounterReport,
+    DecisionReply,
+    DecisionRequest,
+    Denial,
+    FleetUpdateRequest,
+    RouterHeartbeat,
+    RouterHeartbeatReply,
+)
+from orchidpath.wire.records import WorkerRecord
+
+CIRCUITS_PUSH_SECONDS = 0.2
+"""Changed circuits are pushed to the routers at most this often."""
+
+CIRCUITS_REPEAT_SECONDS = 5.0
+"""Circuits are pushed this often even when nothing changed, so that a lost push does not last."""
+
+PENDING_DECISION_SECONDS = 1.0
+"""A decision that waits for a transition this long is dropped; the router has gone on by then."""
+
+
+class _PendingDecision(msgspec.Struct, frozen=True):
+    router_id: str
+    request: DecisionRequest
+    since: float
+
+
+class LeaderDuties:
+    """Soft state and duties of one leadership.
+
+    Parameters
+    ----------
+    term
+        Term of this leadership.
+    state
+        The replicated state, complete up to this leadership's first entry.
+    random
+        Source of jitter.
+    now
+        Monotonic seconds.
+    router_removal_seconds
+        A router that is silent for this long leaves the roster.
+    disabled_guards
+        For tests only.
+    """
+
+    def __init__(
+        self,
+        term: int,
+        state: FleetState,
+        random: random_module.Random,
+        now: float,
+        router_removal_seconds: float = ROUTER_REMOVAL_SECONDS,
+        disabled_guards: frozenset[ConfirmationGuard] = frozenset(),
+    ) -> None:
+        self._term = term
+        self._state = state
+        self.outbox: list[ControlEffect] = []
+        self.proposals: list[Command] = []
+        self.confirmation = ConfirmationTracker(
+            state.confirmed_revision, _rosters_of(state), now, disabled_guards
+        )
+        if state.revision > state.confirmed_revision:
+            self.confirmation.revision_committed(state.revision, current_roster(state))
+        self._liveness = LivenessTracker(router_removal_seconds)
+        self.circuits = CircuitTable(state.configuration.circuit, random, term=term)
+        self.circuits.set_workers(state.workers())
+        for circuit in state.circuits():
+            self.circuits.apply_circuit(circuit, now)
+        for capacity in state.capacities():
+            self.circuits.apply_capacity(capacity, now)
+        self._adopted: dict[str, int] = {}
+        self._pushed: dict[str, int] = {}
+        self._pending_decisions: list[_PendingDecision] = []
+        self._circuits_sequence = 0
+        self._circuits_dirty = True
+        self._next_circuits_push = now
+        self._next_circuits_repeat = now + CIRCUITS_REPEAT_SECONDS
+
+    def tick(self, now: float) -> None:
+        """Propose what silence asks for, advance the confirmation and push changed circuits."""
+        workers = {worker.worker_id: worker.incarnation for worker in self._state.workers()}
+        for worker_id, incarnation, sequence in self._liveness.silent_workers(workers, now):
+            gone = WorkerGone(worker_id=worker_id, incarnation=incarnation, sequence=sequence)
+            self.proposals.append(gone)
+        self._liveness.forget_workers_except(workers)
+        router_ids = [router.router_id for router in self._state.routers()]
+        for router_id in self._liveness.silent_routers(router_ids, now):
+            self.proposals.append(RemoveRouter(router_id=router_id))
+        self._advance_confirmation(now)
+        self._push_circuits(now)
+        self._pending_decisions = [
+            pending
+            for pending in self._pending_decisions
+            if now - pending.since < PENDING_DECISION_SECONDS
+        ]
+
+    def receive_router_heartbeat(self, heartbeat: RouterHeartbeat, now: float) -> None:
+        """Renew a router's lease and note what it has adopted.
+
+        The caller has checked that this leader holds its own lease at ``now``.
+        """
+        router_id = heartbeat.record.router_id
+        registered = self._state.find_router(router_id) == heartbeat.record
+        if not registered and self._liveness.router_age_seconds(router_id, now) > 0.4:
+            self.proposals.append(RegisterRouter(record=heartbeat.record))
+        if router_id not in self._adopted:
+            self._circuits_dirty = True
+        self._liveness.router_heard(router_id, now)
+        self._adopted[router_id] = heartbeat.adopted_revision
+        self.confirmation.router_adopted(router_id, heartbeat.adopted_revision)
+        reply = RouterHeartbeatReply(
+            term=self._term,
+            sequence=heartbeat.sequence,
+            revision=self._state.revision,
+            registered=registered,
+        )
+        self.outbox.append(SendToNode(router_id, reply))
+        self._advance_confirmation(now)
+
+    def receive_update_request(self, router_id: str, request: FleetUpdateRequest) -> None:
+        """Send a router all that lies above the revision it names."""
+        update = self._state.update_since(request.adopted_revision)
+        self.outbox.append(SendToNode(router_id, update))
+
+    def receive_announcements(self, announcements: Iterable[Announcement], now: float) -> None:
+        """Take workers' announcements and propose those that change something agreed."""
+        for announcement in announcements:
+            record = announcement.record
+            if not self._liveness.worker_heard(
+                record.worker_id, record.incarnation, announcement.sequence, now
+            ):
+                continue
+            if self._differs(record):
+                change = WorkerChanged(record=record, sequence=announcement.sequence)
+                self.proposals.append(change)
+
+    def receive_decision_request(
+        self, router_id: str, request: DecisionRequest, now: float
+    ) -> None:
+        """Decide one attempt, after a committed transition if it would be a probe."""
+        answer = self.circuits.decide(request, now)
+        if isinstance(answer, Decided):
+            reply = msgspec.structs.replace(
+                answer.reply, correlation=request.correlation, term=self._term
+            )
+            self.outbox.append(SendToNode(router_id, reply))
+            return
+        self._await_transition(router_id, request, answer, now)
+
+    def receive_reports(self, router_id: str, reports: AttemptReports, now: float) -> None:
+        """Count reports, propose the transitions they cause, and acknowledge them."""
+        for transition in self.circuits.report(reports.reports, now):
+            self.proposals.append(CircuitChanged(transition=transition))
+        reply = AttemptReportsReply(sequence=reports.sequence, term=self._term)
+        self.outbox.append(SendToNode(router_id, reply))
+
+    def receive_counters(self, router_id: str, counters: CounterReport, now: float) -> None:
+        """Rebuild the hot counters from a router's own part of them."""
+        if counters.term == self._term:
+            self.circuits.rebuild(router_id, counters, now)
+
+    def receive_capacity(self, observed: CapacityObserved, now: float) -> None:
+        """Open a failure domain's capacity circuit on a router's derived throttle."""
+        transition = self.circuits.observe_capacity(observed, now)
+        if transition is not None:
+            self.proposals.append(CapacityChanged(transition=transition))
+
+    def applied(self, outcome: Outcome, previous_revision: int, now: float) -> None:
+        """Follow one command that the replicated state has applied."""
+        if isinstance(outcome, CircuitResult) and outcome.record is not None:
+            self.circuits.apply_circuit(outcome.record, now)
+            self._circuits_dirty = True
+        if isinstance(outcome, CapacityResult) and outcome.record is not None:
+            self.circuits.apply_capacity(outcome.record, now)
+            self._circuits_dirty = True
+        if isinstance(outcome, CircuitResult):
+            self._decide_pending(now)
+        if self._state.revision != previous_revision:
+            self._revision_changed(now)
+
+    def push_updates(self) -> None:
+        """Push the newest revision to every router that was heard and not sent it yet."""
+        revision = self._state.revision
+        for router_id, adopted in self._adopted.items():
+            known = max(adopted, self._pushed.get(router_id, 0))
+            if known >= revision:
+                continue
+            self._pushed[router_id] = revision
+            self.outbox.append(SendToNode(router_id, self._state.update_since(known)))
+
+    def _revision_changed(self, now: float) -> None:
+        self.confirmation.revision_committed(self._state.revision, current_roster(self._state))
+        configuration = self._state.configuration
+        factor = configuration.admission.load_bound_factor
+        self.circuits.set_policy(configuration.circuit, factor)
+        self.circuits.set_workers(self._state.workers())
+        self._advance_confirmation(now)
+
+    def _advance_confirmation(self, now: float) -> None:
+        confirmed = self.confirmation.advance(now)
+        # Recorded only when an older witness set is out of force: rare, and it keeps a successor
+        # from asking for the majority of a set whose routers may be gone for good.
+        if len(self._state.witness_sets_since(self._state.confirmed_revision)) > 1:
+            known = self._state.witness_sets_since(confirmed)
+            if len(known) == 1 and confirmed > self._state.confirmed_revision:
+                self._propose_once(RevisionConfirmed(revision=confirmed))
+
+    def _propose_once(self, command: Command) -> None:
+        if command not in self.proposals:
+            self.proposals.append(command)
+
+    def _differs(self, record: WorkerRecord) -> bool:
+        entry = self._state.find_worker(record.worker_id)
+        if entry is None:
+            return True
+        normalized = msgspec.structs.replace(
+            record,
+            held=entry.record.held,
+            failure_domain=record.failure_domain or record.worker_id,
+        )
+        return normalized != entry.record
+
+    def _await_transition(
+        self, router_id: str, request: DecisionRequest, answer: NeedsTransition, now: float
+    ) -> None:
+        self._pending_decisions.append(_PendingDecision(router_id, request, now))
+        self.proposals.append(CircuitChanged(transition=answer.transition))
+
+    def _decide_pending(self, now: float) -> None:
+        waiting = self._pending_decisions
+        self._pending_decisions = []
+        for pending in waiting:
+            self.receive_decision_request(pending.router_id, pending.request, now)
+
+    def _push_circuits(self, now: float) -> None:
+        due = self._circuits_dirty and now >= self._next_circuits_push
+        if not due and now < self._next_circuits_repeat:
+            return
+        self._circuits_dirty = False
+        self._next_circuits_push = now + CIRCUITS_PUSH_SECONDS
+        self._next_circuits_repeat = now + CIRCUITS_REPEAT_SECONDS
+        self._circuits_sequence += 1
+        view = self.circuits.circuits_view(now, term=self._term, sequence=self._circuits_sequence)
+        for router_id in self._adopted:
+            self.outbox.append(SendToNode(router_id, view))
+
+
+def not_leader_reply(request: DecisionRequest, term: int) -> DecisionReply:
+    """Answer a decision request that this process may not decide."""
+    return DecisionReply(correlation=request.correlation, term=term, denial=Denial.NOT_LEADER)
+
+
+def current_roster(state: FleetState) -> Roster:
+    """Return the roster in force at the state's newest revision."""
+    return Roster(
+        revision=state.revision,
+        routers=frozenset(router.router_id for router in state.routers()),
+        witnesses=frozenset(state.witnesses),
+    )
+
+
+def _rosters_of(state: FleetState) -> list[Roster]:
+    """Return every witness set since the last revision recorded as confirmed, oldest first."""
+    routers = frozenset(router.router_id for router in state.routers())
+    return [
+        Roster(state.confirmed_revision, routers, frozenset(witnesses))
+        for witnesses in state.witness_sets_since(state.confirmed_revision)
+    ]
--- /dev/null
+++ b/src/orchidpath/control/member_manager.py
@@ -0,0 +1,124 @@
+"""Which control replicas vote: keeps the wanted number of voters up; pure.
+
+Asked by the leader on every tick; it names one change at a time, and the consensus core refuses a
+change that would not be safe yet. Why the order is safe: a standby is promoted *before* the lost
+voter is removed, so at every moment a majority of the voters holds every confirmed change
+(docs/design/control-state.md, "Disk lost after an acknowledgement").
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from orchidpath.consensus.types import Membership
+from orchidpath.control.liveness import ROUTER_REMOVAL_SECONDS
+
+LEARNER_REMOVAL_SECONDS = 60.0
+"""A learner that has not been heard for this long leaves the membership."""
+
+
+class MemberPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """How many voters to keep, and how long a silent voter or router stays."""
+
+    target_voters: int = 3
+    replace_after_seconds: float = 8.0
+    router_removal_seconds: float = ROUTER_REMOVAL_SECONDS
+
+
+class MemberManager:
+    """Names the next membership change.
+
+    Parameters
+    ----------
+    policy
+        Wanted voters and patience.
+    now
+        Start of this leadership: silence counts from here at the earliest.
+    """
+
+    def __init__(self, policy: MemberPolicy, now: float) -> None:
+        self._policy = policy
+        self._started_at = now
+        self._joining: dict[str, str] = {}
+
+    def join_requested(self, node_id: str, address: str) -> None:
+        """Note a replica that wants to become a learner."""
+        self._joining[node_id] = address
+
+    def next_change(
+        self,
+        leader_id: str,
+        membership: Membership,
+        last_contact: Callable[[str], float],
+        now: float,
+    ) -> Membership | None:
+        """Return the membership to propose next, or None when nothing is to be done."""
+        joined = self._add_learner(membership)
+        if joined is not None:
+            return joined
+
+        def silence_seconds(node_id: str) -> float:
+            if node_id == leader_id:
+                return 0.0
+            return now - max(last_contact(node_id), self._started_at)
+
+        lost = [
+            voter
+            for voter in membership.voters
+            if silence_seconds(voter) > self._policy.replace_after_seconds
+        ]
+        surplus = len(membership.voters) - self._policy.target_voters
+        if lost and surplus > 0:
+            return _remove(membership, max(lost, key=silence_seconds))
+        if surplus > 0:
+            return _demote_newest(membership, leader_id)
+        heard = [one for one in membership.learners if silence_seconds(one) < 1.0]
+        if heard and (surplus < 0 or lost):
+            return _promote(membership, heard[0])
+        return self._remove_silent_learner(membership, silence_seconds)
+
+    def _add_learner(self, membership: Membership) -> Membership | None:
+        for node_id, address in list(self._joining.items()):
+            del self._joining[node_id]
+            if membership.addresses.get(node_id) == address:
+                continue
+            addresses = {**membership.addresses, node_id: address}
+            if node_id in membership.voters:
+                return msgspec.structs.replace(membership, addresses=addresses)
+            learners = tuple(sorted({*membership.learners, node_id}))
+            return Membership(membership.voters, learners, addresses)
+        return None
+
+    def _remove_silent_learner(
+        self, membership: Membership, silence_seconds: Callable[[str], float]
+    ) -> Membership | None:
+        for learner in membership.learners:
+            if silence_seconds(learner) > LEARNER_REMOVAL_SECONDS:
+                return _remove(membership, learner)
+        return None
+
+
+def _promote(membership: Membership, learner: str) -> Membership:
+    return Membership(
+        voters=(*membership.voters, learner),
+        learners=tuple(one for one in membership.learners if one != learner),
+        addresses=membership.addresses,
+    )
+
+
+def _demote_newest(membership: Membership, leader_id: str) -> Membership:
+    """Make the newest voter a standby again: the one that it was to replace has come back."""
+    newest = [voter for voter in membership.voters if voter != leader_id][-1]
+    return Membership(
+        voters=tuple(one for one in membership.voters if one != newest),
+        learners=(*membership.learners, newest),
+        addresses=membership.addresses,
+    )
+
+
+def _remove(membership: Membership, node_id: str) -> Membership:
+    return Membership(
+        voters=tuple(one for one in membership.voters if one != node_id),
+        learners=tuple(one for one in membership.learners if one != node_id),
+        addresses={one: at for one, at in membership.addresses.items() if one != node_id},
+    )
--- /dev/null
+++ b/src/orchidpath/control/operator_api.py
@@ -0,0 +1,396 @@
+"""The operators' HTTP API, served by every control process.
+
+Endpoints, all JSON:
+
+- ``GET /v1/configuration``: version and configuration.
+- ``PUT /v1/configuration``: submit an order.
+- ``GET /v1/configuration/history``: the newest configurations taken.
+- ``GET /v1/orders/{order_id}``: first outcome of an order.
+- ``GET /v1/status``: this process.
+- ``GET /v1/workers``, ``GET /v1/routers``, ``GET /v1/members``: the fleet.
+- ``POST /v1/workers/announce``: a worker's announcement.
+- ``GET /health/live``, ``GET /health/ready``: probes.
+- ``GET /metrics``: metrics in the Prometheus text format.
+
+Reads of the fleet are linearizable: they see every order confirmed before they began, at any
+control process. Every error has the shape of
+:class:`~orchidpath.control.operator_bodies.OperatorErrorBody`.
+"""
+
+import abc
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import prometheus_client
+import structlog
+from aiohttp import web
+
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.control.operator_bodies import (
+    ConfigurationBody,
+    HealthBody,
+    HistoryBody,
+    MalformedRequestError,
+    MembersBody,
+    OperatorError,
+    OperatorErrorBody,
+    OperatorErrorCode,
+    RouterBody,
+    RoutersBody,
+    StatusBody,
+    SubmitReplyBody,
+    SubmitResult,
+    SubmitStatus,
+    Taken,
+    WorkersBody,
+    decode_announcement,
+    decode_submit,
+    order_body,
+    worker_body,
+)
+from orchidpath.state.commands import SubmitConfiguration, configuration_digest
+from orchidpath.state.machine import FleetState
+from orchidpath.state.validation import InvalidConfigurationError, parse_configuration
+from orchidpath.wire.backend import Announcement, AnnouncementReply
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Largest body of a request, a configuration included."""
+
+BODY_TIMEOUT_SECONDS = 10.0
+"""A request whose body takes longer than this to arrive is refused."""
+
+_log = structlog.get_logger(__name__)
+_CODES_BY_HTTP_STATUS = {
+    404: OperatorErrorCode.NOT_FOUND,
+    405: OperatorErrorCode.METHOD_NOT_ALLOWED,
+    408: OperatorErrorCode.TIMEOUT,
+    413: OperatorErrorCode.TOO_LARGE,
+}
+
+
+class UnavailableError(OrchidpathError):
+    """The control tier cannot answer now.
+
+    Parameters
+    ----------
+    message
+        Why.
+    retry_after_seconds
+        When to come back.
+    """
+
+    def __init__(self, message: str, retry_after_seconds: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_seconds = retry_after_seconds
+
+
+class ControlAccess(abc.ABC):
+    """What the API needs of its control process; requests may be forwarded to the leader."""
+
+    @abc.abstractmethod
+    async def submit(self, order: SubmitConfiguration) -> SubmitResult:
+        """Propose a valid order and wait, for a bounded time, until it is confirmed.
+
+        ``taken`` is NO in the result only if the order can never take effect any more.
+        """
+
+    @abc.abstractmethod
+    async def read_state(self) -> FleetState:
+        """Return a state that holds everything confirmed before the call (linearizable).
+
+        Raises
+        ------
+        UnavailableError
+            No leader confirmed the read in time.
+        """
+
+    @abc.abstractmethod
+    async def circuits(self) -> tuple[WorkerCircuitView, ...]:
+        """Return the workers' circuits as the leader has them now.
+
+        Raises
+        ------
+        UnavailableError
+            No leader answered in time.
+        """
+
+    @abc.abstractmethod
+    def status(self) -> StatusBody:
+        """Return what this process knows of itself, without asking any other."""
+
+    @abc.abstractmethod
+    async def forward_announcement(self, announcement: Announcement) -> AnnouncementReply:
+        """Pass a worker's announcement on to the leader."""
+
+
+def create_operator_app(
+    access: ControlAccess,
+    registry: prometheus_client.CollectorRegistry = prometheus_client.REGISTRY,
+) -> web.Application:
+    """Return the application that serves the operators' API.
+
+    Parameters
+    ----------
+    access
+        The control process behind it.
+    registry
+        Metrics to show.
+    """
+    app = web.Application(middlewares=[_answer_errors], client_max_size=MAX_BODY_BYTES)
+    api = _OperatorApi(access, registry)
+    app.router.add_get("/v1/configuration", api.get_configuration)
+    app.router.add_put("/v1/configuration", api.put_configuration)
+    app.router.add_get("/v1/configuration/history", api.get_history)
+    app.router.add_get("/v1/orders/{order_id}", api.get_order)
+    app.router.add_get("/v1/status", api.get_status)
+    app.router.add_get("/v1/workers", api.get_workers)
+    app.router.add_post("/v1/workers/announce", api.post_announcement)
+    app.router.add_get("/v1/routers", api.get_routers)
+    app.router.add_get("/v1/members", api.get_members)
+    app.router.add_get("/health/live", api.get_live)
+    app.router.add_get("/health/ready", api.get_ready)
+    app.router.add_get("/metrics", api.get_metrics)
+    return app
+
+
+class _OperatorApi:
+    """Handlers of the endpoints."""
+
+    def __init__(
+        self, access: ControlAccess, registry: prometheus_client.CollectorRegistry
+    ) -> None:
+        self._access = access
+        self._registry = registry
+
+    async def get_configuration(self, request: web.Request) -> web.Response:
+        """``GET /v1/configuration``: 200 ``{"version", "configuration"}``; 503 without a leader."""
+        state = await self._access.read_state()
+        return _json(
+            ConfigurationBody(
+                version=state.configuration_version, configuration=state.configuration
+            )
+        )
+
+    async def put_configuration(self, request: web.Request) -> web.Response:
+        """``PUT /v1/configuration`` with ``{"order_id", "base_version", "configuration"}``.
+
+        - 200 ``{"order_id", "version", "confirmed": true}``: taken and confirmed.
+        - 202 the same with ``false``: taken; send the same order again for the confirmation.
+        - 400 ``malformed`` and 422 ``invalid_configuration`` with every problem and its path:
+          nothing was proposed.
+        - 409 ``version_conflict`` or ``order_id_reused``, with ``current_version``: refused.
+        - 503 ``no_leader`` with ``Retry-After``; ``taken`` is ``no`` or ``unknown``. An order of
+          unknown outcome is sent again as it is: its id makes it take effect once.
+        """
+        body = decode_submit(await _read_body(request))
+        try:
+            configuration = parse_configuration(bytes(body.configuration))
+        except InvalidConfigurationError as error:
+            return _invalid_configuration(error, body.order_id)
+        order = SubmitConfiguration(
+            order_id=body.order_id,
+            base_version=body.base_version,
+            configuration=configuration,
+            digest=configuration_digest(body.base_version, configuration),
+        )
+        try:
+            result = await self._access.submit(order)
+        except Exception as error:
+            # The order may already be in the log, so nothing may be promised about it.
+            _log.exception("submit_failed", order_id=body.order_id, error=str(error))
+            result = SubmitResult(status=SubmitStatus.UNAVAILABLE, taken=Taken.UNKNOWN)
+        return _submit_response(body.order_id, result)
+
+    async def get_history(self, request: web.Request) -> web.Response:
+        """``GET /v1/configuration/history``: 200 ``{"history": [{"version", ...}]}``."""
+        state = await self._access.read_state()
+        return _json(HistoryBody(history=state.history()))
+
+    async def get_order(self, request: web.Request) -> web.Response:
+        """``GET /v1/orders/{order_id}``: 200 with the first outcome; 404 ``unknown_order``.
+
+        An unknown order had not been taken when the request came, or is older than the newest
+        orders that are remembered; one still on its way may be taken later.
+        """
+        order_id = request.match_info["order_id"]
+        state = await self._access.read_state()
+        record = state.find_order(order_id)
+        if record is None:
+            message = "no order of this id is remembered"
+            return _error(404, OperatorErrorCode.UNKNOWN_ORDER, message, order_id=order_id)
+        return _json(order_body(record))
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """``GET /v1/status``: 200 with what this process knows of itself."""
+        return _json(self._access.status())
+
+    async def get_workers(self, request: web.Request) -> web.Response:
+        """``GET /v1/workers``: 200 ``{"revision", "workers": [...]}`` with each one's circuit.
+
+        ``circuit`` is ``available``, ``cooldown``, ``half_open``, ``rate_limited`` or
+        ``quarantined``; ``retry_after_ms`` is the time until the worker may be tried again.
+        """
+        circuits = {view.worker_id: view for view in await self._access.circuits()}
+        state = await self._access.read_state()
+        workers = tuple(
+            worker_body(record, circuits.get(record.worker_id)) for record in state.workers()
+        )
+        return _json(WorkersBody(revision=state.revision, workers=workers))
+
+    async def get_routers(self, request: web.Request) -> web.Response:
+        """``GET /v1/routers``: 200 ``{"revision", "routers": [{"record", "witness"}]}``."""
+        state = await self._access.read_state()
+        routers = tuple(
+            RouterBody(record=record, witness=record.router_id in state.witnesses)
+            for record in state.routers()
+        )
+        return _json(RoutersBody(revision=state.revision, routers=routers))
+
+    async def get_members(self, request: web.Request) -> web.Response:
+        """``GET /v1/members``: 200 ``{"term", "leader_id", "members": [...]}``."""
+        state = await self._access.read_state()
+        status = self._access.status()
+        return _json(
+            MembersBody(
+                term=status.term, leader_id=status.leader_id, members=state.control_members()
+            )
+        )
+
+    async def post_announcement(self, request: web.Request) -> web.Response:
+        """``POST /v1/workers/announce`` with an announcement: 200 or, if not taken on, 503."""
+        announcement = decode_announcement(await _read_body(request))
+        reply = await self._access.forward_announcement(announcement)
+        response = _json(reply, status=200 if reply.accepted else 503)
+        if not reply.accepted:
+            response.headers["Retry-After"] = "1"
+        return response
+
+    async def get_live(self, request: web.Request) -> web.Response:
+        """``GET /health/live``: 200 as long as the process answers."""
+        return _json(HealthBody(ready=self._access.status().ready))
+
+    async def get_ready(self, request: web.Request) -> web.Response:
+        """``GET /health/ready``: 200 if the process can serve operators, else 503."""
+        status = self._access.status()
+        body = HealthBody(ready=status.ready, reason=status.reason)
+        return _json(body, status=200 if status.ready else 503)
+
+    async def get_metrics(self, request: web.Request) -> web.Response:
+        """``GET /metrics``: 200 with the metrics in the Prometheus text format."""
+        return web.Response(
+            body=prometheus_client.generate_latest(self._registry),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+
+@web.middleware
+async def _answer_errors(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    """Turn every exception into the one JSON shape of errors."""
+    try:
+        return await handler(request)
+    except MalformedRequestError as error:
+        return _error(400, OperatorErrorCode.MALFORMED, str(error))
+    except UnavailableError as error:
+        return _error(
+            503,
+            OperatorErrorCode.NO_LEADER,
+            str(error),
+            retry_after_seconds=error.retry_after_seconds,
+        )
+    except web.HTTPException as error:
+        code = _CODES_BY_HTTP_STATUS.get(error.status, OperatorErrorCode.REFUSED)
+        response = _error(error.status, code, error.reason)
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
+        return response
+    except Exception as error:
+        _log.exception("request_failed", path=request.path, error=str(error))
+        return _error(500, OperatorErrorCode.INTERNAL, "the request failed inside the server")
+
+
+async def _read_body(request: web.Request) -> bytes:
+    """Return a request's body, for which the wait is bounded."""
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+            return await request.read()
+    except TimeoutError as error:
+        raise web.HTTPRequestTimeout from error
+
+
+def _submit_response(order_id: str, result: SubmitResult) -> web.Response:
+    """Return the answer to an order."""
+    match result.status:
+        case SubmitStatus.CONFIRMED | SubmitStatus.TAKEN_NOT_CONFIRMED:
+            confirmed = result.status is SubmitStatus.CONFIRMED
+            body = SubmitReplyBody(order_id=order_id, version=result.version, confirmed=confirmed)
+            return _json(body, status=200 if confirmed else 202)
+        case SubmitStatus.CONFLICT:
+            return _error(
+                409,
+                OperatorErrorCode.VERSION_CONFLICT,
+                "the order was not built on the current version; nothing changed",
+                order_id=order_id,
+                current_version=result.current_version,
+            )
+        case SubmitStatus.ORDER_ID_REUSED:
+            return _error(
+                409,
+                OperatorErrorCode.ORDER_ID_REUSED,
+                "the order id was taken by an order with other content; nothing changed",
+                order_id=order_id,
+                current_version=result.current_version,
+            )
+        case SubmitStatus.UNAVAILABLE:
+            return _error(
+                503,
+                OperatorErrorCode.NO_LEADER,
+                "no leader answered; send the same order again",
+                taken=result.taken,
+                order_id=order_id,
+                retry_after_seconds=result.retry_after_seconds,
+            )
+
+
+def _invalid_configuration(error: InvalidConfigurationError, order_id: str) -> web.Response:
+    body = OperatorErrorBody(
+        error=OperatorError(
+            code=OperatorErrorCode.INVALID_CONFIGURATION,
+            message="the configuration is not valid; nothing changed",
+        ),
+        order_id=order_id,
+        problems=error.problems,
+    )
+    return _json(body, status=422)
+
+
+def _error(
+    status: int,
+    code: OperatorErrorCode,
+    message: str,
+    *,
+    taken: Taken | msgspec.UnsetType = msgspec.UNSET,
+    order_id: str | msgspec.UnsetType = msgspec.UNSET,
+    current_version: int | msgspec.UnsetType = msgspec.UNSET,
+    retry_after_seconds: float | None = None,
+) -> web.Response:
+    """Return an error's response; ``Retry-After`` counts whole seconds."""
+    body = OperatorErrorBody(
+        error=OperatorError(code=code, message=message, taken=taken),
+        order_id=order_id,
+        current_version=current_version,
+    )
+    response = _json(body, status=status)
+    if retry_after_seconds is not None:
+        response.headers["Retry-After"] = str(max(1, math.ceil(retry_after_seconds)))
+    return response
+
+
+def _json(body: msgspec.Struct, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/src/orchidpath/control/operator_bodies.py
@@ -0,0 +1,298 @@
+"""JSON bodies of the operators' HTTP API, and the typed results behind them."""
+
+from enum import StrEnum
+
+import msgspec
+
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.consensus.types import Role
+from orchidpath.state.outcomes import OrderAccepted, OrderRecord
+from orchidpath.state.problems import Problem
+from orchidpath.state.snapshot import ConfigurationEntry
+from orchidpath.wire.backend import Announcement
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.records import (
+    CircuitStatus,
+    ControlMember,
+    RouterRecord,
+    WorkerRecord,
+    WorkerStatus,
+)
+
+MAX_ID_CHARACTERS = 200
+"""Length of an order's, worker's or incarnation's identifier."""
+
+MAX_VERSION = 2**53
+"""Versions and sequences stay where every JSON reader keeps them exact."""
+
+NEUTRAL_HEALTH = 0.5
+"""Health of a worker without attempts (paper: neutral default)."""
+
+
+class MalformedRequestError(OrchidpathError):
+    """A request's body has not the documented form."""
+
+
+class Taken(StrEnum):
+    """Whether an order that got no outcome was taken."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class SubmitStatus(StrEnum):
+    """How the submission of an order ended."""
+
+    CONFIRMED = "confirmed"
+    """Taken and certain to outlast the failures that the fleet is built for."""
+    TAKEN_NOT_CONFIRMED = "taken_not_confirmed"
+    """Committed, but the wait for the confirmation ran out; send the same order again to ask."""
+    CONFLICT = "conflict"
+    """Not built on the current version; nothing changed."""
+    ORDER_ID_REUSED = "order_id_reused"
+    """The id belongs to an order with other content; nothing changed."""
+    UNAVAILABLE = "unavailable"
+    """No leader answered; ``taken`` tells what is known of the order."""
+
+
+class SubmitResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of submitting an order.
+
+    ``version`` is set for orders taken, ``current_version`` for those refused, ``taken`` and
+    ``retry_after_seconds`` when unavailable.
+    """
+
+    status: SubmitStatus
+    version: int = 0
+    current_version: int = 0
+    taken: Taken = Taken.UNKNOWN
+    retry_after_seconds: float = 1.0
+
+
+class OperatorErrorCode(StrEnum):
+    """Stable error codes of the operators' API."""
+
+    MALFORMED = "malformed"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    VERSION_CONFLICT = "version_conflict"
+    ORDER_ID_REUSED = "order_id_reused"
+    NO_LEADER = "no_leader"
+    NOT_READY = "not_ready"
+    UNKNOWN_ORDER = "unknown_order"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    TOO_LARGE = "too_large"
+    TIMEOUT = "timeout"
+    REFUSED = "refused"
+    INTERNAL = "internal"
+
+
+class OperatorError(msgspec.Struct, frozen=True, kw_only=True):
+    """What went wrong; ``taken`` is given where an order's outcome is in question."""
+
+    code: OperatorErrorCode
+    message: str
+    taken: Taken | msgspec.UnsetType = msgspec.UNSET
+
+
+class OperatorErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The one JSON shape of every error of the operators' API."""
+
+    error: OperatorError
+    order_id: str | msgspec.UnsetType = msgspec.UNSET
+    current_version: int | msgspec.UnsetType = msgspec.UNSET
+    problems: list[Problem] | msgspec.UnsetType = msgspec.UNSET
+
+
+class SubmitBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Body of ``PUT /v1/configuration``; the configuration is checked apart from the rest."""
+
+    order_id: str
+    base_version: int
+    configuration: msgspec.Raw
+
+
+class SubmitReplyBody(msgspec.Struct, frozen=True, kw_only=True):
+    """An order was taken as ``version``."""
+
+    order_id: str
+    version: int
+    confirmed: bool
+
+
+class ConfigurationBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest configuration and its version."""
+
+    version: int
+    configuration: Configuration
+
+
+class HistoryBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest configurations taken, oldest first."""
+
+    history: tuple[ConfigurationEntry, ...]
+
+
+class OrderOutcomeName(StrEnum):
+    """Outcome of an order that was taken."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+
+
+class OrderBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The first outcome of an order: the version it became, or the one it met."""
+
+    order_id: str
+    outcome: OrderOutcomeName
+    version: int | msgspec.UnsetType = msgspec.UNSET
+    current_version: int | msgspec.UnsetType = msgspec.UNSET
+
+
+class StatusBody(msgspec.Struct, frozen=True, kw_only=True):
+    """What one control process knows of itself; not agreed with any other."""
+
+    node_id: str
+    role: Role
+    term: int
+    leader_id: str = ""
+    ready: bool = False
+    reason: str = ""
+    commit_index: int = 0
+    applied_index: int = 0
+    revision: int = 0
+    configuration_version: int = 0
+    voters: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+
+
+class WorkerBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker in the view and its circuit, with the time until it may be tried again."""
+
+    record: WorkerRecord
+    circuit: CircuitStatus
+    retry_after_ms: int
+    health: float
+    in_flight: int
+
+
+class WorkersBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The workers in the view, by id."""
+
+    revision: int
+    workers: tuple[WorkerBody, ...]
+
+
+class RouterBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A registered router, and whether it is a witness."""
+
+    record: RouterRecord
+    witness: bool
+
+
+class RoutersBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The registered routers, by id."""
+
+    revision: int
+    routers: tuple[RouterBody, ...]
+
+
+class MembersBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The registered control replicas, by id."""
+
+    term: int
+    leader_id: str
+    members: tuple[ControlMember, ...]
+
+
+class HealthBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The process is alive, or ready."""
+
+    ready: bool
+    reason: str = ""
+
+
+_submit_decoder = msgspec.json.Decoder(SubmitBody)
+_announcement_decoder = msgspec.json.Decoder(Announcement)
+
+
+def decode_submit(raw: bytes) -> SubmitBody:
+    """Return the body of an order, with its configuration not yet looked at.
+
+    Raises
+    ------
+    MalformedRequestError
+        The body has not the documented form.
+    """
+    try:
+        body = _submit_decoder.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise MalformedRequestError(str(error)) from error
+    _check_identifier(body.order_id, "order_id")
+    if not 0 <= body.base_version <= MAX_VERSION:
+        raise MalformedRequestError("base_version is out of range")
+    return body
+
+
+def decode_announcement(raw: bytes) -> Announcement:
+    """Return a worker's announcement.
+
+    Raises
+    ------
+    MalformedRequestError
+        The body has not the documented form.
+    """
+    try:
+        announcement = _announcement_decoder.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise MalformedRequestError(str(error)) from error
+    record = announcement.record
+    for name in ("worker_id", "incarnation", "service"):
+        _check_identifier(getattr(record, name), f"record.{name}")
+    if not record.url.startswith("http://"):
+        raise MalformedRequestError("record.url is not an http address")
+    if record.status is WorkerStatus.GONE:
+        raise MalformedRequestError("record.status must be ready or draining")
+    if not 0 <= announcement.sequence <= MAX_VERSION:
+        raise MalformedRequestError("sequence is out of range")
+    return announcement
+
+
+def _check_identifier(value: str, name: str) -> None:
+    if not 0 < len(value) <= MAX_ID_CHARACTERS or not value.isprintable():
+        raise MalformedRequestError(f"{name} must be 1 to {MAX_ID_CHARACTERS} printable characters")
+
+
+def order_body(record: OrderRecord) -> OrderBody:
+    """Return the first outcome of an order as it is shown."""
+    if isinstance(record.outcome, OrderAccepted):
+        return OrderBody(
+            order_id=record.order_id,
+            outcome=OrderOutcomeName.ACCEPTED,
+            version=record.outcome.version,
+        )
+    return OrderBody(
+        order_id=record.order_id,
+        outcome=OrderOutcomeName.CONFLICT,
+        current_version=record.outcome.current_version,
+    )
+
+
+def worker_body(record: WorkerRecord, view: WorkerCircuitView | None) -> WorkerBody:
+    """Return a worker with its circuit; one that is not in the circuits yet is available."""
+    if view is None:
+        return WorkerBody(
+            record=record,
+            circuit=CircuitStatus.AVAILABLE,
+            retry_after_ms=0,
+            health=NEUTRAL_HEALTH,
+            in_flight=0,
+        )
+    return WorkerBody(
+        record=record,
+        circuit=view.status,
+        retry_after_ms=view.retry_after_ms,
+        health=view.health,
+        in_flight=view.in_flight,
+    )
--- /dev/null
+++ b/src/orchidpath/control/runner.py
@@ -0,0 +1,149 @@
+"""Drives the control core: takes events, syncs what must be synced, then lets effects out.
+
+The order in here is what "synced before any answer" rests on. Events that came in while a sync was
+running are taken together (group commit): all their records are synced first, then all their other
+effects run in the order in which the core gave them. Moving a record before a message that
+preceded it is always safe; the reverse never is, and does not happen.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from orchidpath.common.clock import Clock
+from orchidpath.consensus.effects import PersistEntries, PersistHardState, PersistSnapshot
+from orchidpath.consensus.errors import ConsensusError
+from orchidpath.consensus.storage import LogStorage
+from orchidpath.control.core import ControlCore
+from orchidpath.control.effects import ControlEffect, PersistEffect
+
+CoreEvent = Callable[[float], list[ControlEffect]]
+"""One call of the core, given the time at which it is made."""
+
+MAX_EVENTS_PER_TURN = 256
+"""Events taken in one turn; bounds how long a turn keeps the event loop."""
+
+
+class CoreRunner:
+    """Serializes all access to a control core.
+
+    Parameters
+    ----------
+    core
+        The decisions.
+    storage
+        Where its records are kept.
+    clock
+        Monotonic clock.
+    execute
+        Runs one effect that is no record; must not block.
+    on_sync
+        Told how many seconds each turn's sync took.
+    """
+
+    def __init__(
+        self,
+        core: ControlCore,
+        storage: LogStorage,
+        clock: Clock,
+        execute: Callable[[ControlEffect], None],
+        on_sync: Callable[[float], None],
+    ) -> None:
+        self.core = core
+        self._storage = storage
+        self._clock = clock
+        self._execute = execute
+        self._on_sync = on_sync
+        self._events: list[CoreEvent] = []
+        self._wake = asyncio.Event()
+        self._turn_ended = asyncio.Event()
+
+    async def wait_until_applied(self, index: int) -> None:
+        """Wait until the core has applied the log up to ``index``."""
+        while self.core.raft.applied_index < index:
+            await self._turn_ended.wait()
+
+    def post(self, event: CoreEvent) -> None:
+        """Queue a call of the core; it runs soon, in order."""
+        self._events.append(event)
+        self._wake.set()
+
+    async def run_forever(self) -> None:
+        """Run turns until cancelled.
+
+        Raises
+        ------
+        ConsensusError
+            The disk failed or the log is contradicted: this replica must stop.
+        """
+        while True:
+            await self.run_once()
+            await self._sleep_until_due()
+
+    async def run_once(self) -> None:
+        """Take the waiting events and a tick, sync their records, and run their effects."""
+        events = self._events[:MAX_EVENTS_PER_TURN]
+        del self._events[:MAX_EVENTS_PER_TURN]
+        effects: list[ControlEffect] = []
+        for event in events:
+            effects.extend(event(self._clock()))
+        effects.extend(self.core.tick(self._clock()))
+        records = merge_records(effect for effect in effects if is_record(effect))
+        if records:
+            await self._sync(records)
+        for effect in effects:
+            if not is_record(effect):
+                self._execute(effect)
+        self._turn_ended.set()
+        self._turn_ended = asyncio.Event()
+
+    async def _sync(self, records: list[PersistEffect]) -> None:
+        started_at = self._clock()
+        await asyncio.to_thread(self._write, records)
+        self._on_sync(self._clock() - started_at)
+
+    def _write(self, records: list[PersistEffect]) -> None:
+        for record in records:
+            match record:
+                case PersistHardState():
+                    self._storage.persist_hard_state(record.hard_state)
+                case PersistEntries():
+                    self._storage.persist_entries(record.truncate_from, record.entries)
+                case PersistSnapshot():
+                    self._storage.persist_snapshot(record.snapshot)
+
+    async def _sleep_until_due(self) -> None:
+        if self._events:
+            await asyncio.sleep(0)
+            return
+        self._wake.clear()
+        now = self._clock()
+        delay_seconds = max(0.0, self.core.next_deadline(now) - now)
+        try:
+            async with asyncio.timeout(delay_seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+
+def is_record(effect: ControlEffect) -> bool:
+    """Whether an effect is a record to be synced."""
+    return isinstance(effect, PersistHardState | PersistEntries | PersistSnapshot)
+
+
+def merge_records(effects: Iterable[ControlEffect]) -> list[PersistEffect]:
+    """Join runs of appended entries so that each run costs one sync."""
+    merged: list[PersistEffect] = []
+    for effect in effects:
+        previous = merged[-1] if merged else None
+        if not isinstance(effect, PersistHardState | PersistEntries | PersistSnapshot):
+            raise ConsensusError(f"{type(effect).__name__} is no record")
+        if (
+            isinstance(effect, PersistEntries)
+            and isinstance(previous, PersistEntries)
+            and effect.truncate_from is None
+        ):
+            joined = [*previous.entries, *effect.entries]
+            merged[-1] = PersistEntries(previous.truncate_from, joined)
+        else:
+            merged.append(effect)
+    return merged
--- /dev/null
+++ b/tests/control/test_confirmation.py
@@ -0,0 +1,104 @@
+"""When a revision counts as in force everywhere (docs/design/freshness.md)."""
+
+from collections.abc import Set
+
+from orchidpath.control.confirmation import (
+    LAPSE_SECONDS,
+    ConfirmationGuard,
+    ConfirmationTracker,
+    Roster,
+)
+
+ROUTERS = frozenset({"a", "b", "c"})
+START = 100.0
+LATER = START + LAPSE_SECONDS
+
+
+def tracker(
+    *rosters: Roster, guards: frozenset[ConfirmationGuard] = frozenset()
+) -> ConfirmationTracker:
+    first = rosters or (Roster(1, ROUTERS, ROUTERS),)
+    return ConfirmationTracker(1, list(first), START, guards)
+
+
+def commit(
+    one: ConfirmationTracker,
+    revision: int,
+    routers: Set[str] = ROUTERS,
+    witnesses: Set[str] = ROUTERS,
+) -> None:
+    one.revision_committed(revision, Roster(revision, frozenset(routers), frozenset(witnesses)))
+
+
+def test_all_routers_adopted_confirms_at_once() -> None:
+    one = tracker()
+    commit(one, 2)
+    for router in ROUTERS:
+        one.router_adopted(router, 2)
+    assert one.advance(LATER) == 2
+
+
+def test_a_new_leader_first_waits_for_leases_that_its_predecessor_gave() -> None:
+    one = tracker()
+    commit(one, 2)
+    for router in ROUTERS:
+        one.router_adopted(router, 2)
+    assert one.advance(START + 0.1) == 1
+    assert one.advance(LATER) == 2
+
+
+def test_a_router_that_lags_is_waited_for_until_its_lease_has_lapsed() -> None:
+    one = tracker()
+    commit(one, 2)
+    one.router_adopted("a", 2)
+    one.router_adopted("b", 2)
+    assert one.advance(LATER) == 1
+    assert one.advance(LATER + LAPSE_SECONDS - 0.01) == 1
+    assert one.advance(LATER + LAPSE_SECONDS) == 2
+
+
+def test_without_a_witness_majority_no_wait_confirms() -> None:
+    one = tracker()
+    commit(one, 2)
+    one.router_adopted("a", 2)
+    assert one.advance(LATER + 1000) == 1
+    one.router_adopted("b", 2)
+    one.advance(LATER + 1000)
+    assert one.advance(LATER + 1000 + LAPSE_SECONDS) == 2
+
+
+def test_every_witness_set_since_the_confirmed_revision_needs_a_majority() -> None:
+    old = frozenset({"x", "y", "z"})
+    one = tracker(Roster(1, old | ROUTERS, old))
+    commit(one, 2)
+    for router in ROUTERS:
+        one.router_adopted(router, 2)
+    assert one.advance(LATER + 1000) == 1
+    one.router_adopted("x", 2)
+    one.router_adopted("y", 2)
+    one.advance(LATER + 1000)
+    assert one.advance(LATER + 1000 + LAPSE_SECONDS) == 2
+
+
+def test_a_removed_router_is_waited_for_once() -> None:
+    one = tracker()
+    commit(one, 2, routers={"a", "b"}, witnesses={"a", "b"})
+    one.router_adopted("a", 2)
+    one.router_adopted("b", 2)
+    assert one.advance(LATER) == 1
+    assert one.advance(LATER + LAPSE_SECONDS) == 2
+    commit(one, 3, routers={"a", "b"}, witnesses={"a", "b"})
+    one.router_adopted("a", 3)
+    one.router_adopted("b", 3)
+    assert one.advance(LATER + LAPSE_SECONDS) == 3
+
+
+def test_guards_left_out_confirm_too_early() -> None:
+    for guard in ConfirmationGuard:
+        one = tracker(guards=frozenset({guard}))
+        commit(one, 2)
+        if guard is ConfirmationGuard.WAIT_FOR_LAPSE:
+            one.router_adopted("a", 2)
+            one.router_adopted("b", 2)
+        one.advance(LATER)
+        assert one.advance(LATER + LAPSE_SECONDS) == 2
--- /dev/null
+++ b/tests/control/test_member_manager.py
@@ -0,0 +1,84 @@
+"""Which control replicas vote: a standby is promoted before a lost voter is removed."""
+
+from collections.abc import Set
+
+from orchidpath.consensus.types import Membership
+from orchidpath.control.member_manager import (
+    LEARNER_REMOVAL_SECONDS,
+    MemberManager,
+    MemberPolicy,
+)
+
+POLICY = MemberPolicy(target_voters=3, replace_after_seconds=8.0)
+ADDRESSES = {name: f"{name}:1" for name in "abcd"}
+WHOLE = Membership(("a", "b", "c"), ("d",), ADDRESSES)
+
+
+def change_or_none(
+    manager: MemberManager,
+    membership: Membership,
+    silent: Set[str] = frozenset(),
+    now: float = 100.0,
+) -> Membership | None:
+    return manager.next_change("a", membership, lambda node: 0.0 if node in silent else now, now)
+
+
+def change(
+    manager: MemberManager,
+    membership: Membership,
+    silent: Set[str] = frozenset(),
+    now: float = 100.0,
+) -> Membership:
+    wanted = change_or_none(manager, membership, silent, now)
+    assert wanted is not None
+    return wanted
+
+
+def test_a_whole_membership_stays() -> None:
+    assert change_or_none(MemberManager(POLICY, 0.0), WHOLE) is None
+
+
+def test_a_lost_voter_is_replaced_in_two_steps() -> None:
+    manager = MemberManager(POLICY, 0.0)
+    first = change(manager, WHOLE, silent={"c"})
+    assert first.voters == ("a", "b", "c", "d")
+    second = change(manager, first, silent={"c"})
+    assert second.voters == ("a", "b", "d")
+    assert "c" not in second.addresses
+
+
+def test_without_a_standby_a_lost_voter_stays() -> None:
+    alone = Membership(("a", "b", "c"), (), ADDRESSES)
+    assert change_or_none(MemberManager(POLICY, 0.0), alone, silent={"c"}) is None
+
+
+def test_a_silent_standby_is_never_promoted() -> None:
+    assert change_or_none(MemberManager(POLICY, 0.0), WHOLE, silent={"c", "d"}, now=50.0) is None
+
+
+def test_a_new_leader_counts_silence_from_its_own_start() -> None:
+    manager = MemberManager(POLICY, 95.0)
+    assert change_or_none(manager, WHOLE, silent={"c"}) is None
+
+
+def test_a_replica_that_asks_becomes_a_learner_and_then_a_voter() -> None:
+    manager = MemberManager(POLICY, 0.0)
+    manager.join_requested("e", "e:1")
+    small = Membership(("a",), (), {"a": "a:1"})
+    joined = change(manager, small)
+    assert joined.learners == ("e",)
+    assert change(manager, joined).voters == ("a", "e")
+
+
+def test_a_learner_that_is_gone_for_long_is_forgotten() -> None:
+    manager = MemberManager(POLICY, 0.0)
+    forgotten = change(manager, WHOLE, silent={"d"}, now=LEARNER_REMOVAL_SECONDS + 1)
+    assert forgotten.learners == ()
+
+
+def test_a_voter_that_came_back_makes_its_replacement_a_standby_again() -> None:
+    manager = MemberManager(POLICY, 0.0)
+    grown = change(manager, WHOLE, silent={"c"})
+    back = change(manager, grown)
+    assert back.voters == ("a", "b", "c")
+    assert back.learners == ("d",)
--- /dev/null
+++ b/tests/control/test_operator_api.py
@@ -0,0 +1,399 @@
+"""The operators' HTTP API over a control process that keeps its state in memory."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import prometheus_client
+import pytest
+from aiohttp.test_utils import TestClient, TestServer
+
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.consensus.types import Role
+from orchidpath.control import operator_api
+from orchidpath.control.operator_api import (
+    MAX_BODY_BYTES,
+    ControlAccess,
+    UnavailableError,
+    create_operator_app,
+)
+from orchidpath.control.operator_bodies import StatusBody, SubmitResult, SubmitStatus, Taken
+from orchidpath.state.commands import (
+    Command,
+    RegisterControlMember,
+    RegisterRouter,
+    SubmitConfiguration,
+    WorkerChanged,
+    encode_command,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import OrderAccepted, OrderConflict, OrderResult
+from orchidpath.wire.backend import Announcement, AnnouncementReply
+from orchidpath.wire.records import (
+    CircuitStatus,
+    ControlMember,
+    RouterRecord,
+    Stage,
+    WorkerRecord,
+)
+
+CONFIGURATION = {"services": [{"name": "stock", "kind": "plain"}]}
+OTHER = {"services": [{"name": "board", "kind": "plain"}]}
+INVALID = {"services": [{"name": "", "kind": "plain"}], "unknown": 1}
+
+
+class FakeAccess(ControlAccess):
+    """A control process that is its own leader."""
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+        self.available = True
+        self.ready = True
+        self.result: SubmitResult | None = None
+        self.failure: Exception | None = None
+        self.proposed: list[SubmitConfiguration] = []
+        self.announced: list[Announcement] = []
+        self.views: tuple[WorkerCircuitView, ...] = ()
+
+    def apply(self, command: Command) -> OrderResult | None:
+        outcome = self.state.apply(self.state.applied_index + 1, encode_command(command)).outcome
+        return outcome if isinstance(outcome, OrderResult) else None
+
+    async def submit(self, order: SubmitConfiguration) -> SubmitResult:
+        self.proposed.append(order)
+        if self.failure is not None:
+            raise self.failure
+        if self.result is not None:
+            return self.result
+        await asyncio.sleep(0)
+        applied = self.apply(order)
+        assert applied is not None
+        match applied.outcome:
+            case OrderAccepted(version=version):
+                return SubmitResult(status=SubmitStatus.CONFIRMED, version=version)
+            case OrderConflict(current_version=current):
+                return SubmitResult(status=SubmitStatus.CONFLICT, current_version=current)
+            case reused:
+                return SubmitResult(
+                    status=SubmitStatus.ORDER_ID_REUSED, current_version=reused.current_version
+                )
+
+    async def read_state(self) -> FleetState:
+        if not self.available:
+            raise UnavailableError("no leader", retry_after_seconds=1.2)
+        return self.state
+
+    async def circuits(self) -> tuple[WorkerCircuitView, ...]:
+        return self.views
+
+    def status(self) -> StatusBody:
+        return StatusBody(node_id="c1", role=Role.LEADER, term=4, leader_id="c1", ready=self.ready)
+
+    async def forward_announcement(self, announcement: Announcement) -> AnnouncementReply:
+        self.announced.append(announcement)
+        return AnnouncementReply(accepted=self.available, announce_to=("127.0.0.1:9",))
+
+
+@pytest.fixture
+def access() -> FakeAccess:
+    return FakeAccess()
+
+
+Client = TestClient[Any, Any]
+
+
+@pytest.fixture
+async def client(access: FakeAccess) -> AsyncIterator[Client]:
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.Counter("sample", "A sample", registry=registry).inc()
+    async with TestClient(TestServer(create_operator_app(access, registry))) as running:
+        yield running
+
+
+def order(order_id: str, base_version: int, configuration: object = CONFIGURATION) -> bytes:
+    body = {"order_id": order_id, "base_version": base_version, "configuration": configuration}
+    return json.dumps(body).encode()
+
+
+async def put(client: Client, body: bytes) -> tuple[int, dict[str, Any]]:
+    response = await client.put("/v1/configuration", data=body)
+    return response.status, await response.json()
+
+
+async def get(client: Client, path: str) -> tuple[int, dict[str, Any]]:
+    response = await client.get(path)
+    return response.status, await response.json()
+
+
+async def test_an_order_is_confirmed_and_read_back(client: Client) -> None:
+    assert await put(client, order("o1", 0)) == (
+        200,
+        {"order_id": "o1", "version": 1, "confirmed": True},
+    )
+    status, body = await get(client, "/v1/configuration")
+    assert (status, body["version"]) == (200, 1)
+    assert body["configuration"]["services"][0]["name"] == "stock"
+    status, body = await get(client, "/v1/configuration/history")
+    assert [(entry["version"], entry["order_id"]) for entry in body["history"]] == [(1, "o1")]
+
+
+async def test_what_was_read_can_be_sent_back(client: Client) -> None:
+    await put(client, order("o1", 0))
+    _, body = await get(client, "/v1/configuration")
+    status, reply = await put(client, order("o2", body["version"], body["configuration"]))
+    assert (status, reply["version"]) == (200, 2)
+
+
+async def test_of_racing_operators_one_wins_and_the_others_learn_the_version(
+    client: Client,
+) -> None:
+    answers = await asyncio.gather(*(put(client, order(f"o{n}", 0)) for n in range(8)))
+    assert sorted(status for status, _ in answers) == [200] + [409] * 7
+    refused = [body for status, body in answers if status == 409]
+    assert {body["error"]["code"] for body in refused} == {"version_conflict"}
+    assert {body["current_version"] for body in refused} == {1}
+
+
+async def test_a_repeated_order_gets_its_first_answer(client: Client, access: FakeAccess) -> None:
+    first = await put(client, order("o1", 0))
+    await put(client, order("o2", 1, OTHER))
+    # Written differently, but the same content.
+    spaced = json.dumps(json.loads(order("o1", 0)), indent=3).encode()
+    assert await put(client, spaced) == first
+    assert access.state.configuration_version == 2
+
+
+async def test_a_reused_order_id_is_refused(client: Client, access: FakeAccess) -> None:
+    await put(client, order("o1", 0))
+    status, body = await put(client, order("o1", 1, OTHER))
+    assert (status, body["error"]["code"], body["current_version"]) == (409, "order_id_reused", 1)
+    assert access.state.configuration.services[0].name == "stock"
+
+
+async def test_an_invalid_configuration_is_never_proposed(
+    client: Client, access: FakeAccess
+) -> None:
+    status, body = await put(client, order("o1", 0, INVALID))
+    assert (status, body["error"]["code"]) == (422, "invalid_configuration")
+    assert [problem["path"] for problem in body["problems"]] == ["services[0].name", "unknown"]
+    assert access.proposed == []
+    assert access.state.configuration_version == 0
+    # The id was not taken, so the corrected order may carry it.
+    assert (await put(client, order("o1", 0)))[0] == 200
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"\xff",
+        b"[" * 100_000,
+        b'{"order_id": "o", "base_version": 0}',
+        b'{"order_id": "o", "base_version": "0", "configuration": {}}',
+        b'{"order_id": "o", "base_version": 0, "configuration": {}, "force": true}',
+        order("", 0),
+        order("a\nb", 0),
+        order("o" * 201, 0),
+        order("o", -1),
+        order("o", 2**60),
+    ],
+)
+async def test_a_malformed_order_is_refused(
+    client: Client, access: FakeAccess, body: bytes
+) -> None:
+    status, answer = await put(client, body)
+    assert (status, answer["error"]["code"]) == (400, "malformed")
+    assert access.proposed == []
+
+
+async def test_taken_but_not_confirmed_is_said_so(client: Client, access: FakeAccess) -> None:
+    access.result = SubmitResult(status=SubmitStatus.TAKEN_NOT_CONFIRMED, version=3)
+    assert await put(client, order("o1", 2)) == (
+        202,
+        {"order_id": "o1", "version": 3, "confirmed": False},
+    )
+
+
+@pytest.mark.parametrize("taken", list(Taken))
+async def test_without_a_leader_the_answer_says_what_is_known(
+    client: Client, access: FakeAccess, taken: Taken
+) -> None:
+    access.result = SubmitResult(
+        status=SubmitStatus.UNAVAILABLE, taken=taken, retry_after_seconds=1.5
+    )
+    response = await client.put("/v1/configuration", data=order("o1", 0))
+    body = await response.json()
+    assert (response.status, response.headers["Retry-After"]) == (503, "2")
+    assert (body["error"]["code"], body["error"]["taken"]) == ("no_leader", taken.value)
+
+
+@pytest.mark.parametrize("failure", [UnavailableError("lost"), RuntimeError("fault")])
+async def test_a_failed_submission_never_promises_that_it_was_not_taken(
+    client: Client, access: FakeAccess, failure: Exception
+) -> None:
+    access.failure = failure
+    status, body = await put(client, order("o1", 0))
+    assert (status, body["error"]["taken"]) == (503, "unknown")
+
+
+async def test_orders_are_found_by_id(client: Client) -> None:
+    await put(client, order("o1", 0))
+    await put(client, order("o2", 0))
+    assert await get(client, "/v1/orders/o1") == (
+        200,
+        {"order_id": "o1", "outcome": "accepted", "version": 1},
+    )
+    assert await get(client, "/v1/orders/o2") == (
+        200,
+        {"order_id": "o2", "outcome": "conflict", "current_version": 1},
+    )
+    status, body = await get(client, "/v1/orders/o3")
+    assert (status, body["error"]["code"]) == (404, "unknown_order")
+
+
+@pytest.mark.parametrize(
+    "path", ["configuration", "configuration/history", "orders/o", "workers", "routers", "members"]
+)
+async def test_reads_need_a_leader(client: Client, access: FakeAccess, path: str) -> None:
+    access.available = False
+    response = await client.get(f"/v1/{path}")
+    body = await response.json()
+    assert (response.status, response.headers["Retry-After"]) == (503, "2")
+    assert body["error"]["code"] == "no_leader"
+
+
+def record(worker_id: str) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=worker_id,
+        incarnation="a",
+        service="stock",
+        stage=Stage.PLAIN,
+        url="http://127.0.0.1:1",
+    )
+
+
+@pytest.mark.parametrize("circuit", list(CircuitStatus))
+async def test_workers_are_shown_with_their_circuits(
+    client: Client, access: FakeAccess, circuit: CircuitStatus
+) -> None:
+    for worker_id in ("w1", "w2"):
+        access.apply(WorkerChanged(record=record(worker_id), sequence=1))
+    view = WorkerCircuitView(
+        worker_id="w1",
+        status=circuit,
+        retry_after_ms=1500,
+        health=0.25,
+        in_flight=3,
+        transient_failures=1,
+        generation=2,
+    )
+    access.views = (view,)
+    _, body = await get(client, "/v1/workers")
+    shown = [
+        (item["record"]["worker_id"], item["circuit"], item["retry_after_ms"], item["health"])
+        for item in body["workers"]
+    ]
+    assert shown == [("w1", circuit.value, 1500, 0.25), ("w2", "available", 0, 0.5)]
+
+
+async def test_routers_and_members_are_shown(client: Client, access: FakeAccess) -> None:
+    router = RouterRecord(router_id="r1", address="127.0.0.1:1", http_address="127.0.0.1:2")
+    member = ControlMember(node_id="c1", address="127.0.0.1:3")
+    access.apply(RegisterRouter(record=router))
+    access.apply(RegisterControlMember(member=member))
+    _, routers = await get(client, "/v1/routers")
+    assert [(item["record"]["router_id"], item["witness"]) for item in routers["routers"]] == [
+        ("r1", True)
+    ]
+    _, members = await get(client, "/v1/members")
+    assert (members["term"], members["leader_id"]) == (4, "c1")
+    assert [item["node_id"] for item in members["members"]] == ["c1"]
+
+
+def announcement(**changes: object) -> bytes:
+    fields: dict[str, object] = {
+        "worker_id": "w1",
+        "incarnation": "a",
+        "service": "stock",
+        "stage": "plain",
+        "url": "http://127.0.0.1:1",
+    }
+    return json.dumps({"record": fields | changes, "sequence": 7}).encode()
+
+
+async def test_announcements_are_passed_on(client: Client, access: FakeAccess) -> None:
+    response = await client.post("/v1/workers/announce", data=announcement())
+    assert (response.status, await response.json()) == (
+        200,
+        {"accepted": True, "announce_to": ["127.0.0.1:9"]},
+    )
+    assert access.announced == [Announcement(record=record("w1"), sequence=7)]
+    access.available = False
+    response = await client.post("/v1/workers/announce", data=announcement())
+    assert (response.status, response.headers["Retry-After"]) == (503, "1")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        announcement(worker_id=""),
+        announcement(incarnation=""),
+        announcement(status="gone"),
+        announcement(stage="other"),
+        announcement(url="file:///x"),
+        b'{"record": 1, "sequence": 1}',
+    ],
+)
+async def test_malformed_announcements_are_refused(
+    client: Client, access: FakeAccess, body: bytes
+) -> None:
+    response = await client.post("/v1/workers/announce", data=body)
+    assert (response.status, (await response.json())["error"]["code"]) == (400, "malformed")
+    assert access.announced == []
+
+
+async def test_probes_status_and_metrics(client: Client, access: FakeAccess) -> None:
+    assert (await get(client, "/health/live"))[0] == 200
+    assert (await get(client, "/health/ready"))[0] == 200
+    access.ready = False
+    assert (await get(client, "/health/live"))[0] == 200
+    assert (await get(client, "/health/ready"))[0] == 503
+    status, body = await get(client, "/v1/status")
+    assert (status, body["node_id"], body["role"]) == (200, "c1", "leader")
+    response = await client.get("/metrics")
+    assert "sample_total 1.0" in await response.text()
+
+
+async def test_every_error_has_the_one_shape(
+    client: Client, access: FakeAccess, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    status, body = await get(client, "/nowhere")
+    assert (status, body["error"]["code"]) == (404, "not_found")
+    response = await client.delete("/v1/configuration")
+    assert response.status == 405
+    assert "PUT" in response.headers["Allow"]
+    assert (await response.json())["error"]["code"] == "method_not_allowed"
+    status, body = await put(client, b" " * (MAX_BODY_BYTES + 1))
+    assert (status, body["error"]["code"]) == (413, "too_large")
+    monkeypatch.setattr(access, "status", lambda: 1 / 0)
+    status, body = await get(client, "/v1/status")
+    assert (status, body["error"]["code"]) == (500, "internal")
+
+
+async def test_a_body_that_does_not_arrive_is_not_waited_for(
+    client: Client, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(operator_api, "BODY_TIMEOUT_SECONDS", 0.0)
+    never = asyncio.Event()
+
+    async def body() -> AsyncIterator[bytes]:
+        yield b"{"
+        await never.wait()
+
+    response = await client.put("/v1/configuration", data=body())
+    assert response.status == 408
+    never.set()
