--- /dev/null
+++ b/src/orchidpath/router/backend_client.py
@@ -0,0 +1,270 @@
+"""Orders to back ends over HTTP/1.1, and their answers as events; see :mod:`.backend_exchange`.
+
+An order is written once: redirects are not followed, and the library never repeats a POST. An
+exchange that is aborted closes its connection; only one that was read to its end gives it back.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import closing
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from orchidpath.circuit.classification import AttemptObservation, Observed
+from orchidpath.router.backend_exchange import (
+    AttemptError,
+    CheckedRequest,
+    Emit,
+    Exchange,
+    OrderTarget,
+    SendCheck,
+    SendRefusedError,
+    current_exchange,
+    failed,
+    failed_as,
+    read_bounded,
+    require_echo,
+    require_success,
+)
+from orchidpath.router.server_sent_events import EventParser, MalformedEventError
+from orchidpath.routing.request_events import (
+    CallReplied,
+    DecodeEnded,
+    DecodeFrameReceived,
+    PrefillSucceeded,
+    RequestEvent,
+    SendRefused,
+)
+from orchidpath.wire.backend import (
+    ATTEMPT_HEADER,
+    CallReply,
+    CallRequest,
+    CancelReply,
+    DecodeFrame,
+    DecodeRequest,
+    FrameKind,
+    PrefillReply,
+    PrefillRequest,
+)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+"""A back end that takes longer to accept a connection is taken as unreachable."""
+
+IDLE_CONNECTION_SECONDS = 15.0
+"""An unused connection to a back end is closed after this long."""
+
+END_OF_BODY_SECONDS = 1.0
+"""After the terminal frame the body must end within this, or the connection is closed."""
+
+ReplyT = TypeVar("ReplyT")
+
+
+class BackendClient:
+    """Sends orders to back ends and turns their answers into events; one pool for each back end."""
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_SECONDS)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            request_class=CheckedRequest,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+            headers={"accept-encoding": "identity"},
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def prefill(
+        self, target: OrderTarget, order: PrefillRequest, check: SendCheck, emit: Emit
+    ) -> None:
+        """Order a prompt read and emit how it ended.
+
+        Parameters
+        ----------
+        target
+            Where it goes.
+        order
+            The prompt.
+        check
+            Asked right before the first byte.
+        emit
+            Takes exactly one event.
+        """
+
+        async def exchange_once(exchange: Exchange) -> RequestEvent:
+            reply = await self._unary(exchange, "/v1/prefill", order, PrefillReply)
+            require_echo(exchange, reply.request_id, reply.attempt_id)
+            return PrefillSucceeded(
+                attempt_id=target.attempt_id, request_id=reply.request_id, handle=reply.handle
+            )
+
+        await emit(await self._outcome(Exchange(target, check), exchange_once))
+
+    async def call(
+        self, target: OrderTarget, order: CallRequest, check: SendCheck, emit: Emit
+    ) -> None:
+        """Order a plain call and emit how it ended; parameters as for :meth:`prefill`."""
+
+        async def exchange_once(exchange: Exchange) -> RequestEvent:
+            reply = await self._unary(exchange, "/v1/call", order, CallReply)
+            require_echo(exchange, reply.request_id, reply.attempt_id)
+            return CallReplied(
+                attempt_id=target.attempt_id,
+                replied_request_id=reply.request_id,
+                replied_attempt_id=reply.attempt_id,
+                body=bytes(reply.body),
+            )
+
+        await emit(await self._outcome(Exchange(target, check), exchange_once))
+
+    async def decode(
+        self, target: OrderTarget, order: DecodeRequest, check: SendCheck, emit: Emit
+    ) -> None:
+        """Order a decode; emit every frame as it comes and then how the stream ended.
+
+        Parameters are as for :meth:`prefill`; ``emit`` takes any number of events.
+        """
+
+        async def exchange_once(exchange: Exchange) -> RequestEvent:
+            await self._stream(exchange, order, emit)
+            return DecodeEnded(attempt_id=target.attempt_id)
+
+        await emit(await self._outcome(Exchange(target, check), exchange_once))
+
+    async def cancel(self, url: str, attempt_id: str, timeout_seconds: float) -> CancelReply | None:
+        """Tell a back end that an attempt is not wanted.
+
+        Parameters
+        ----------
+        url
+            Base address of the back end.
+        attempt_id
+            The attempt.
+        timeout_seconds
+            Bound on the whole exchange.
+
+        Returns
+        -------
+        CancelReply or None
+            None when there was no valid answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                response = await self._session.post(
+                    f"{url}/v1/attempts/{attempt_id}/cancel", allow_redirects=False
+                )
+                async with response:
+                    reply = msgspec.json.decode(await read_bounded(response), type=CancelReply)
+        except (aiohttp.ClientError, OSError, msgspec.DecodeError, AttemptError):
+            return None
+        return reply
+
+    async def _outcome(
+        self, exchange: Exchange, work: Callable[[Exchange], Awaitable[RequestEvent]]
+    ) -> RequestEvent:
+        """Run an exchange and turn every way in which it can fail into its event."""
+        token = current_exchange.set(exchange)
+        try:
+            return await work(exchange)
+        except SendRefusedError as refused:
+            return SendRefused(
+                attempt_id=exchange.target.attempt_id,
+                refusal=refused.refusal,
+                retry_after_seconds=exchange.target.refused_retry_after_seconds,
+            )
+        except AttemptError as failure:
+            return failed(exchange, failure.observation, str(failure), failure.error)
+        except (msgspec.DecodeError, MalformedEventError) as problem:
+            return failed_as(exchange, Observed.MALFORMED_PROTOCOL, problem)
+        except TimeoutError as problem:
+            return failed_as(exchange, Observed.TIMED_OUT, problem)
+        except (aiohttp.ClientError, OSError) as problem:
+            return failed_as(exchange, Observed.CONNECTION_RESET, problem)
+        finally:
+            current_exchange.reset(token)
+
+    async def _post(
+        self, exchange: Exchange, path: str, order: msgspec.Struct
+    ) -> aiohttp.ClientResponse:
+        response = await self._session.post(
+            exchange.target.url + path,
+            data=msgspec.json.encode(order),
+            headers={
+                ATTEMPT_HEADER: exchange.target.attempt_id,
+                "content-type": "application/json",
+            },
+            allow_redirects=False,
+        )
+        exchange.echoed_attempt_id = response.headers.get(ATTEMPT_HEADER, "")
+        return response
+
+    async def _unary(
+        self, exchange: Exchange, path: str, order: msgspec.Struct, kind: type[ReplyT]
+    ) -> ReplyT:
+        async with asyncio.timeout(exchange.target.first_answer_seconds):
+            response = await self._post(exchange, path, order)
+            # Closes the connection unless the body was read to its end.
+            with closing(response):
+                content = await read_bounded(response)
+        require_success(exchange, response.status, content)
+        return msgspec.json.decode(content, type=kind)
+
+    async def _stream(self, exchange: Exchange, order: DecodeRequest, emit: Emit) -> None:
+        loop = asyncio.get_running_loop()
+        first_content_by = loop.time() + exchange.target.first_answer_seconds
+        async with asyncio.timeout_at(first_content_by):
+            response = await self._post(exchange, "/v1/decode", order)
+        with closing(response):
+            if response.status != 200:
+                async with asyncio.timeout_at(first_content_by):
+                    content = await read_bounded(response)
+                require_success(exchange, response.status, content)
+            require_echo(exchange, exchange.target.request_id, exchange.echoed_attempt_id)
+            await _FrameReader(exchange, response, emit).read(first_content_by)
+
+
+class _FrameReader:
+    """Reads the frames of one decode stream."""
+
+    def __init__(self, exchange: Exchange, response: aiohttp.ClientResponse, emit: Emit) -> None:
+        self._target = exchange.target
+        self._response = response
+        self._emit = emit
+        self._parser = EventParser()
+        self._has_content = False
+        self._is_complete = False
+
+    async def read(self, first_content_by: float) -> None:
+        """Emit every frame until the body ends."""
+        loop = asyncio.get_running_loop()
+        while True:
+            deadline = loop.time() + self._target.stall_seconds
+            if not self._has_content:
+                deadline = first_content_by
+            if self._is_complete:
+                deadline = loop.time() + END_OF_BODY_SECONDS
+            chunk = await self._next_chunk(deadline)
+            if not chunk:
+                break
+            for data in self._parser.feed(chunk):
+                await self._take(msgspec.json.decode(data, type=DecodeFrame))
+        if self._parser.has_pending:
+            raise MalformedEventError("the body ended inside an event")
+
+    async def _next_chunk(self, deadline: float) -> bytes:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._response.content.readany()
+        except TimeoutError as problem:
+            observed = Observed.STALLED if self._has_content else Observed.TIMED_OUT
+            raise AttemptError(AttemptObservation(observed=observed), observed.value) from problem
+
+    async def _take(self, frame: DecodeFrame) -> None:
+        # Roles, usage and keepalives don't stop the clock of the first token.
+        self._has_content = self._has_content or frame.kind is FrameKind.CONTENT
+        self._is_complete = self._is_complete or frame.kind is FrameKind.DONE
+        await self._emit(DecodeFrameReceived(attempt_id=self._target.attempt_id, frame=frame))
--- /dev/null
+++ b/src/orchidpath/router/background_tasks.py
@@ -0,0 +1,39 @@
+"""Keeps tasks that outlive the request that started them, so that none is lost or leaked."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from orchidpath.common.logs import Logger, get_logger
+
+
+class BackgroundTasks:
+    """A set of running tasks; a failed one is logged."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._logger: Logger = get_logger("background_tasks")
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Start a task and keep it until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def close(self, timeout_seconds: float) -> None:
+        """Wait a bounded time for every task, then cancel the rest."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_seconds)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._logger.error(
+                "background_task_failed", kind=type(error).__name__, error=str(error)
+            )
--- /dev/null
+++ b/src/orchidpath/router/decision_maker.py
@@ -0,0 +1,155 @@
+"""Gets a decision for each attempt, from the leader or without it, and reports how it ended."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.common.clock import Clock
+from orchidpath.router.decisions import FleetAccess
+from orchidpath.router.load_view import LoadView
+from orchidpath.router.routing_state import RoutingState
+from orchidpath.routing.pairing import ModelQuery, PlainQuery
+from orchidpath.routing.request_events import AskDecision, DecisionMade, LegTried, NoCandidates
+from orchidpath.wire.messages import (
+    AttemptEffect,
+    AttemptReport,
+    CapacityObserved,
+    DecisionReply,
+    DecisionRequest,
+    Denial,
+    Leg,
+)
+from orchidpath.wire.records import Stage
+
+
+class DecisionSubject(msgspec.Struct, frozen=True, kw_only=True):
+    """What a request's decisions are about; ``prefix_key`` places its prompt on the ring."""
+
+    request_id: str
+    service: str
+    model: str
+    is_model: bool
+    prefix_key: int = 0
+
+
+class DecisionMaker:
+    """Asks for decisions, falls back to the last known state, and reports.
+
+    Parameters
+    ----------
+    fleet
+        Reaches the leader.
+    state
+        Candidates and last known circuits.
+    timeout_seconds
+        Bound on the wait for the leader.
+    clock
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, fleet: FleetAccess, state: RoutingState, timeout_seconds: float, clock: Clock
+    ) -> None:
+        self._fleet = fleet
+        self._state = state
+        self._timeout_seconds = timeout_seconds
+        self._clock = clock
+        self._loads = LoadView()
+
+    async def decide(
+        self, subject: DecisionSubject, ask: AskDecision
+    ) -> DecisionMade | NoCandidates:
+        """List the candidates and have one chosen for every leg.
+
+        Parameters
+        ----------
+        subject
+            The request.
+        ask
+            The attempt, and what was tried before.
+
+        Returns
+        -------
+        DecisionMade or NoCandidates
+            NoCandidates when the adopted view has no worker for a leg.
+        """
+        self._state.refresh()
+        legs = self._legs(subject, ask.legs)
+        missing = [leg.stage.value for leg in legs if not leg.candidates]
+        if missing:
+            reason = f"no usable {' and no usable '.join(missing)} worker in {subject.service}"
+            return NoCandidates(attempt_id=ask.attempt_id, reason=reason)
+        request = DecisionRequest(
+            correlation=0,
+            request_id=subject.request_id,
+            attempt_id=ask.attempt_id,
+            service=subject.service,
+            legs=legs,
+        )
+        reply = await self._ask_leader_or_fall_back(request)
+        self._loads.begin([choice.worker_id for choice in reply.choices])
+        return DecisionMade(attempt_id=ask.attempt_id, reply=reply)
+
+    def report(self, report: AttemptReport) -> None:
+        """Report how an attempt ended for one worker, here and to the leader."""
+        now = self._clock()
+        self._loads.end(report.worker_id)
+        self._state.fallback.observe((report,), now)
+        self._fleet.report((report,))
+        if report.effect is AttemptEffect.THROTTLE:
+            throttle = self._state.throttle
+            self._obey(throttle.observe_refusal(report.worker_id, report.request_id, now))
+
+    def observe_delay(self, worker_id: str, request_id: str, delay_seconds: float) -> None:
+        """Note how long a worker took to its answer, or to its first token."""
+        now = self._clock()
+        throttle = self._state.throttle
+        self._obey(throttle.observe_delay(worker_id, request_id, delay_seconds, now))
+
+    def _obey(self, observed: CapacityObserved | None) -> None:
+        if observed is None:
+            return
+        self._state.fallback.observe_capacity(observed, self._clock())
+        self._fleet.observe_capacity(observed)
+
+    async def _ask_leader_or_fall_back(self, request: DecisionRequest) -> DecisionReply:
+        reply = await self._fleet.decide(request, self._timeout_seconds)
+        now = self._clock()
+        if reply is None or reply.denial is Denial.NOT_LEADER:
+            return self._state.fallback.decide(request, now)
+        self._loads.learn(reply.states, now)
+        self._state.fallback.begin(request.request_id, request.attempt_id, reply.choices, now)
+        return reply
+
+    def _legs(self, subject: DecisionSubject, tried: Sequence[LegTried]) -> tuple[Leg, ...]:
+        now = self._clock()
+        loads = self._loads.in_flight(now)
+        by_stage = {leg.stage: leg for leg in tried}
+        selector = self._state.selector
+        if subject.is_model:
+            query = ModelQuery(
+                service=subject.service,
+                model=subject.model,
+                request_id=subject.request_id,
+                key=subject.prefix_key,
+                tried_prefill=by_stage[Stage.PREFILL].tried,
+                tried_decode=by_stage[Stage.DECODE].tried,
+            )
+            legs = selector.model_legs(query, loads, now)
+        else:
+            plain = PlainQuery(
+                service=subject.service,
+                request_id=subject.request_id,
+                tried=by_stage[Stage.PLAIN].tried,
+            )
+            legs = (selector.plain_leg(plain, loads),)
+        return tuple(self._without_unusable(leg, by_stage[leg.stage].excluded) for leg in legs)
+
+    def _without_unusable(self, leg: Leg, excluded: tuple[str, ...]) -> Leg:
+        """Leave out what this request must not use, and who told this router of its draining."""
+        candidates = tuple(
+            worker_id
+            for worker_id in leg.candidates
+            if worker_id not in excluded and not self._state.is_draining(worker_id)
+        )
+        return msgspec.structs.replace(leg, candidates=candidates)
--- /dev/null
+++ b/src/orchidpath/router/health.py
@@ -0,0 +1,79 @@
+"""Liveness and readiness of a router.
+
+A router is ready only while it holds a lease to serve and is not stopping; otherwise the answer
+says why, so that an operator need not guess.
+"""
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.common.clock import Clock
+from orchidpath.router.decisions import FleetAccess
+from orchidpath.router.drain import DrainState
+
+DRAINING_REASON = "draining"
+
+
+class Readiness(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``GET /health/ready``."""
+
+    ready: bool
+    reason: str = ""
+    revision: int = 0
+    configuration_version: int = 0
+
+
+class Liveness(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``GET /health/live``."""
+
+    live: bool
+
+
+class HealthPages:
+    """Answers the probes of whoever hands connections to routers.
+
+    Parameters
+    ----------
+    fleet
+        Knows whether the router may serve.
+    drain
+        Knows whether it is stopping.
+    clock
+        Monotonic clock.
+    """
+
+    def __init__(self, fleet: FleetAccess, drain: DrainState, clock: Clock) -> None:
+        self._fleet = fleet
+        self._drain = drain
+        self._clock = clock
+
+    async def live(self, _request: web.Request) -> web.Response:
+        """Answer as long as the process runs its event loop."""
+        return _page(Liveness(live=True), 200)
+
+    async def ready(self, _request: web.Request) -> web.Response:
+        """Answer 200 while new requests are served, otherwise 503 and the reason."""
+        readiness = self.readiness()
+        return _page(readiness, 200 if readiness.ready else 503)
+
+    def readiness(self) -> Readiness:
+        """Return whether the router serves new requests now, and why not."""
+        view = self._fleet.view()
+        now = self._clock()
+        ready = self._fleet.is_fresh(now)
+        reason = "" if ready else self._fleet.freshness_reason(now)
+        if self._drain.is_draining:
+            ready = False
+            reason = DRAINING_REASON
+        return Readiness(
+            ready=ready,
+            reason=reason,
+            revision=view.revision if view is not None else 0,
+            configuration_version=view.configuration_version if view is not None else 0,
+        )
+
+
+def _page(body: msgspec.Struct, status: int) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/src/orchidpath/router/http_errors.py
@@ -0,0 +1,72 @@
+"""Errors towards callers: status by code, ``Retry-After`` and the JSON body."""
+
+import math
+from types import MappingProxyType
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.router.chat_api import DecisionTrace, ErrorAnswer
+from orchidpath.wire.backend import ErrorBody, ErrorCode, Ran
+
+REQUEST_ID_HEADER = "x-request-id"
+
+MINIMUM_RETRY_AFTER_SECONDS = 1
+"""``Retry-After`` counts whole seconds, and 0 would invite an immediate return."""
+
+STATUS_BY_CODE = MappingProxyType(
+    {
+        ErrorCode.BAD_REQUEST: 400,
+        ErrorCode.UPSTREAM_REFUSED: 400,
+        ErrorCode.UNKNOWN_ROUTE: 404,
+        ErrorCode.RATE_LIMITED: 429,
+        ErrorCode.INTERNAL: 500,
+        ErrorCode.UPSTREAM_FAILED: 502,
+        ErrorCode.STREAM_BROKEN: 502,
+        ErrorCode.NOT_FRESH: 503,
+        ErrorCode.DRAINING: 503,
+        ErrorCode.OVERLOADED: 503,
+        ErrorCode.ALL_CIRCUITS_OPEN: 503,
+        ErrorCode.NO_WORKER: 503,
+        ErrorCode.RETRY_BUDGET_SPENT: 503,
+        ErrorCode.DEADLINE_EXCEEDED: 504,
+    }
+)
+"""HTTP status of each code that a router answers with; any other is a fault of the router."""
+
+
+def retry_after_header(seconds: float) -> str:
+    """Return whole seconds, rounded up so that nobody comes back too early."""
+    return str(max(math.ceil(seconds), MINIMUM_RETRY_AFTER_SECONDS))
+
+
+def error_response(error: ErrorBody, trace: DecisionTrace | None = None) -> web.Response:
+    """Make the answer that carries an error."""
+    response = web.Response(
+        body=msgspec.json.encode(ErrorAnswer(error=error, orchidpath=trace)),
+        status=STATUS_BY_CODE.get(error.code, 500),
+        content_type="application/json",
+    )
+    if error.request_id:
+        response.headers[REQUEST_ID_HEADER] = error.request_id
+    if error.retry_after_seconds is not None:
+        response.headers["Retry-After"] = retry_after_header(error.retry_after_seconds)
+    return response
+
+
+def refusal(
+    code: ErrorCode,
+    message: str,
+    request_id: str,
+    *,
+    ran: Ran = Ran.NO,
+    retry_after_seconds: float | None = None,
+) -> ErrorBody:
+    """Make the error of a request that this router does not take in."""
+    return ErrorBody(
+        code=code,
+        message=message,
+        ran=ran,
+        request_id=request_id,
+        retry_after_seconds=retry_after_seconds,
+    )
--- /dev/null
+++ b/src/orchidpath/router/http_intake.py
@@ -0,0 +1,207 @@
+"""Turns a caller's HTTP request into a routed request, or into the refusal that it gets."""
+
+import math
+from random import Random
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.router.chat_api import CHARACTERS_PER_TOKEN, ChatCompletionRequest
+from orchidpath.router.decision_maker import DecisionSubject
+from orchidpath.router.http_errors import REQUEST_ID_HEADER, refusal
+from orchidpath.router.request_runner import RoutedRequest
+from orchidpath.router.routing_state import RoutingState
+from orchidpath.routing.admission import Rejected, RejectionReason
+from orchidpath.routing.request_events import RequestPlan
+from orchidpath.routing.ring import prefix_key
+from orchidpath.routing.route_table import RouteMatch
+from orchidpath.wire.backend import ErrorBody, ErrorCode, Ran
+from orchidpath.wire.configuration import ServiceKind
+
+TENANT_HEADER = "x-tenant"
+DEADLINE_HEADER = "x-deadline-seconds"
+TRACE_HEADER = "x-orchidpath-trace"
+
+MAXIMUM_HEADER_VALUE = 128
+"""Longest request id or tenant that is taken from a caller."""
+
+REQUEST_ID_BITS = 128
+
+
+class RefusedError(OrchidpathError):
+    """The request is not taken in; ``error`` is what the caller gets."""
+
+    def __init__(self, error: ErrorBody) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+class Intake(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that has a route, and what its admission depends on."""
+
+    routed: RoutedRequest
+    tenant: str
+    cost_tokens: int
+    streaming: bool
+
+
+def request_id_of(request: web.Request, random: Random) -> str:
+    """Return the caller's request id, or a new one when it sent none that can be used."""
+    given = request.headers.get(REQUEST_ID_HEADER, "").strip()
+    if given and len(given) <= MAXIMUM_HEADER_VALUE and given.isprintable():
+        return given
+    return f"{random.getrandbits(REQUEST_ID_BITS):032x}"
+
+
+async def read_chat(
+    request: web.Request, request_id: str, state: RoutingState, now: float
+) -> Intake:
+    """Read a chat completion.
+
+    Parameters
+    ----------
+    request
+        The HTTP request.
+    request_id
+        Its id.
+    state
+        Routes of the adopted view.
+    now
+        Monotonic seconds; the deadline counts from here.
+
+    Returns
+    -------
+    Intake
+        What to run.
+
+    Raises
+    ------
+    RefusedError
+        If the body is not a chat completion or no route takes its model.
+    """
+    try:
+        body = msgspec.json.decode(await request.read(), type=ChatCompletionRequest)
+    except msgspec.DecodeError as problem:
+        raise _refused(ErrorCode.BAD_REQUEST, str(problem), request_id) from problem
+    match = state.routes.match_chat(body.model)
+    if match is None:
+        raise _refused(ErrorCode.UNKNOWN_ROUTE, f"no route for model {body.model!r}", request_id)
+    prompt = body.prompt()
+    subject = DecisionSubject(
+        request_id=request_id,
+        service=match.service.name,
+        model=body.model,
+        is_model=True,
+        prefix_key=prefix_key(body.model, prompt),
+    )
+    routed = RoutedRequest(
+        plan=_plan(request, request_id, match, state, now, streaming=body.stream),
+        subject=subject,
+        prompt=prompt,
+        max_tokens=body.token_limit(),
+        wants_trace=_wants_trace(request),
+    )
+    cost_tokens = len(prompt) // CHARACTERS_PER_TOKEN + body.token_limit()
+    return Intake(
+        routed=routed, tenant=_tenant(request), cost_tokens=cost_tokens, streaming=body.stream
+    )
+
+
+async def read_plain(
+    request: web.Request, request_id: str, state: RoutingState, now: float
+) -> Intake:
+    """Read a plain call; parameters, result and errors as for :func:`read_chat`."""
+    match = state.routes.match_plain(request.method, request.path)
+    if match is None:
+        message = f"no route for {request.method} {request.path}"
+        raise _refused(ErrorCode.UNKNOWN_ROUTE, message, request_id)
+    body = await request.read() or b"null"
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError as problem:
+        raise _refused(ErrorCode.BAD_REQUEST, str(problem), request_id) from problem
+    routed = RoutedRequest(
+        plan=_plan(request, request_id, match, state, now, streaming=False),
+        subject=DecisionSubject(
+            request_id=request_id, service=match.service.name, model="", is_model=False
+        ),
+        method=request.method,
+        path=request.path_qs,
+        body=body,
+        wants_trace=_wants_trace(request),
+    )
+    return Intake(routed=routed, tenant=_tenant(request), cost_tokens=1, streaming=False)
+
+
+def admission_error(rejected: Rejected, request_id: str) -> ErrorBody:
+    """Return what a caller gets whom admission turned away."""
+    code = ErrorCode.OVERLOADED
+    ran = Ran.NO
+    match rejected.reason:
+        case RejectionReason.TENANT_SHARE:
+            code = ErrorCode.RATE_LIMITED
+        case RejectionReason.TOO_LARGE:
+            code = ErrorCode.BAD_REQUEST
+        case RejectionReason.DUPLICATE_REQUEST:
+            # The request of this id is running: nobody may be told that it will not run.
+            code = ErrorCode.RATE_LIMITED
+            ran = Ran.UNKNOWN
+        case _:
+            pass
+    return refusal(
+        code,
+        f"not admitted: {rejected.reason.value}",
+        request_id,
+        ran=ran,
+        retry_after_seconds=rejected.retry_after_seconds,
+    )
+
+
+def _plan(
+    request: web.Request,
+    request_id: str,
+    match: RouteMatch,
+    state: RoutingState,
+    now: float,
+    *,
+    streaming: bool,
+) -> RequestPlan:
+    allowed_seconds = match.route.deadline_seconds
+    asked_seconds = _asked_deadline_seconds(request, request_id)
+    if asked_seconds is not None:
+        allowed_seconds = min(allowed_seconds, asked_seconds)
+    return RequestPlan(
+        request_id=request_id,
+        route=match.route,
+        retry=state.configuration.retry,
+        is_model=match.service.kind is ServiceKind.MODEL,
+        streaming=streaming,
+        deadline=now + allowed_seconds,
+    )
+
+
+def _asked_deadline_seconds(request: web.Request, request_id: str) -> float | None:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not (math.isfinite(seconds) and seconds > 0):
+        message = f"{DEADLINE_HEADER} is not a positive number of seconds"
+        raise _refused(ErrorCode.BAD_REQUEST, message, request_id)
+    return seconds
+
+
+def _tenant(request: web.Request) -> str:
+    return request.headers.get(TENANT_HEADER, "")[:MAXIMUM_HEADER_VALUE]
+
+
+def _wants_trace(request: web.Request) -> bool:
+    return request.headers.get(TRACE_HEADER, "").lower() == "true"
+
+
+def _refused(code: ErrorCode, message: str, request_id: str) -> RefusedError:
+    return RefusedError(refusal(code, message, request_id))
--- /dev/null
+++ b/src/orchidpath/router/process.py
@@ -0,0 +1,80 @@
+"""The router process: the HTTP edge and the link to the fleet, wired together."""
+
+import asyncio
+import random as random_module
+import uuid
+
+from orchidpath.common.clock import Clock, monotonic_seconds
+from orchidpath.common.daemon import Daemon
+from orchidpath.common.logs import configure_logs
+from orchidpath.common.settings import RouterSettings
+from orchidpath.router.control_link import ControlLink
+from orchidpath.router.http_edge import EdgeServer
+from orchidpath.wire.faults import LinkFaults, watch_fault_file
+from orchidpath.wire.messages import Hello, ProcessRole
+from orchidpath.wire.records import RouterRecord
+
+INCARNATION_CHARACTERS = 12
+"""Characters of the random incarnation, new for each start."""
+
+
+class RouterProcess(Daemon[RouterSettings]):
+    """One router process.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    clock
+        Monotonic clock.
+    """
+
+    def __init__(self, settings: RouterSettings, clock: Clock = monotonic_seconds) -> None:
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._fault_watch: asyncio.Task[None] | None = None
+        self._random = random_module.Random()
+
+    @property
+    def drain_seconds(self) -> float:
+        """Return how long running streams get to finish after SIGTERM."""
+        return self._settings.drain_seconds
+
+    async def start(self) -> None:
+        """Listen for callers and other processes, and begin to ask for a lease."""
+        settings = self._settings
+        hello = Hello(
+            node_id=settings.node_id,
+            incarnation=uuid.uuid4().hex[:INCARNATION_CHARACTERS],
+            role=ProcessRole.ROUTER,
+            address=settings.wire_address,
+            fleet=settings.fleet,
+        )
+        record = RouterRecord(
+            router_id=settings.node_id,
+            address=settings.wire_address,
+            http_address=settings.http_address,
+            zone=settings.zone,
+        )
+        faults = LinkFaults() if settings.fault_file else None
+        if faults is not None:
+            self._fault_watch = watch_fault_file(settings.fault_file, faults)
+        self._link = ControlLink(record, hello, settings.seeds, self._clock, self._random, faults)
+        self._edge = EdgeServer(settings, self._link, self._random, self._clock)
+        self._link.set_listener(self._edge)
+        await self._edge.start()
+        await self._link.start()
+
+    async def stop(self, drain_seconds: float) -> None:
+        """Finish running requests, report them, and close."""
+        # The edge first: what its last requests have to report still goes out over the link.
+        await self._edge.stop(drain_seconds)
+        await self._link.stop()
+        if self._fault_watch is not None:
+            self._fault_watch.cancel()
+
+    async def reload(self, settings: RouterSettings) -> None:
+        """Take new settings; the log level and the drain time change in a running router."""
+        self._settings = settings
+        configure_logs(settings.log_level, node_id=settings.node_id, role="router")
--- /dev/null
+++ b/src/orchidpath/router/response_sinks.py
@@ -0,0 +1,249 @@
+"""Writes what the request machine decides to the caller: a stream, one completion or a JSON body.
+
+A stream that breaks after its commit must not look complete (brief, "What must never happen"): it
+ends with an error frame, without ``[DONE]``, and its connection is closed without the chunk that
+ends a chunked body.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.router.chat_api import (
+    AssistantMessage,
+    ChatChunk,
+    ChatCompletion,
+    ChunkChoice,
+    CompletionChoice,
+    DecisionTrace,
+    Delta,
+    ErrorAnswer,
+    Usage,
+)
+from orchidpath.router.http_errors import REQUEST_ID_HEADER, error_response
+from orchidpath.wire.backend import DecodeFrame, ErrorBody, FrameKind
+
+CLIENT_STALL_SECONDS = 30.0
+"""A caller who reads nothing for this long is taken as gone."""
+
+_KEEPALIVE = b": keepalive\n\n"
+_DONE = b"data: [DONE]\n\n"
+
+
+class ClientStalledError(ConnectionError):
+    """The caller does not read its response."""
+
+
+class ResponseSink(ABC):
+    """Where the response of one request goes; nothing is written before :meth:`commit`."""
+
+    def __init__(self) -> None:
+        self.response: web.StreamResponse | None = None
+        self.prompt_tokens = 0
+        self.completion_tokens = 0
+
+    @abstractmethod
+    async def commit(self) -> None:
+        """Begin a successful response."""
+
+    @abstractmethod
+    async def relay(self, frames: Sequence[DecodeFrame]) -> None:
+        """Pass frames on; returns once the caller has room for more."""
+
+    @abstractmethod
+    async def finish(self, body: bytes | None, trace: DecisionTrace | None) -> None:
+        """End a successful response."""
+
+    @abstractmethod
+    async def break_stream(self, error: ErrorBody, trace: DecisionTrace | None) -> None:
+        """End a committed response so that it cannot look complete."""
+
+    async def reject(self, error: ErrorBody, trace: DecisionTrace | None) -> None:
+        """Answer with an error; nothing was written before."""
+        self.response = error_response(error, trace)
+
+
+class ChatIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """What every part of a chat completion repeats; ``created`` is a Unix time in seconds."""
+
+    request_id: str
+    model: str
+    created: int
+
+    @property
+    def completion_id(self) -> str:
+        """Identifier of the completion."""
+        return f"chatcmpl-{self.request_id}"
+
+
+class StreamSink(ResponseSink):
+    """Server-sent events of ``chat.completion.chunk``, ended by ``[DONE]``."""
+
+    def __init__(self, request: web.Request, identity: ChatIdentity) -> None:
+        super().__init__()
+        self._request = request
+        self._identity = identity
+        self._stream = web.StreamResponse(
+            headers={
+                "content-type": "text/event-stream",
+                "cache-control": "no-cache",
+                REQUEST_ID_HEADER: identity.request_id,
+            }
+        )
+
+    async def commit(self) -> None:
+        """Send the headers."""
+        self.response = self._stream
+        self._stream.enable_chunked_encoding()
+        await self._stream.prepare(self._request)
+
+    async def relay(self, frames: Sequence[DecodeFrame]) -> None:
+        """Send a chunk for every frame."""
+        for frame in frames:
+            self.completion_tokens = max(self.completion_tokens, frame.completion_tokens)
+            await self._write(self._encode(frame))
+
+    async def finish(self, body: bytes | None, trace: DecisionTrace | None) -> None:
+        """Send the last chunk and the terminal."""
+        choice = ChunkChoice(finish_reason="stop")
+        await self._write(_event(self._chunk((choice,), trace=trace)) + _DONE)
+        await self._stream.write_eof()
+
+    async def break_stream(self, error: ErrorBody, trace: DecisionTrace | None) -> None:
+        """Send the error frame and close the connection without a clean end."""
+        await self._write(_event(ErrorAnswer(error=error, orchidpath=trace)))
+        close_uncleanly(self._request)
+
+    def _encode(self, frame: DecodeFrame) -> bytes:
+        match frame.kind:
+            case FrameKind.ROLE:
+                return _event(self._chunk((ChunkChoice(delta=Delta(role="assistant")),)))
+            case FrameKind.CONTENT:
+                return _event(self._chunk((ChunkChoice(delta=Delta(content=frame.text)),)))
+            case FrameKind.USAGE:
+                return _event(self._chunk((), usage=usage_of(self)))
+            case FrameKind.KEEPALIVE:
+                return _KEEPALIVE
+            case _:
+                return b""
+
+    def _chunk(
+        self,
+        choices: tuple[ChunkChoice, ...],
+        *,
+        usage: Usage | None = None,
+        trace: DecisionTrace | None = None,
+    ) -> ChatChunk:
+        return ChatChunk(
+            id=self._identity.completion_id,
+            object="chat.completion.chunk",
+            created=self._identity.created,
+            model=self._identity.model,
+            choices=choices,
+            usage=usage,
+            orchidpath=trace,
+        )
+
+    async def _write(self, content: bytes) -> None:
+        if not content:
+            return
+        try:
+            # Waits while the caller's buffer is full: a slow reader holds the back end up instead
+            # of filling the memory.
+            async with asyncio.timeout(CLIENT_STALL_SECONDS):
+                await self._stream.write(content)
+        except TimeoutError as problem:
+            if self._request.transport is not None:
+                self._request.transport.abort()
+            raise ClientStalledError("the caller reads nothing") from problem
+
+
+class CompletionSink(ResponseSink):
+    """One ``chat.completion`` body, written when the answer is whole."""
+
+    def __init__(self, identity: ChatIdentity) -> None:
+        super().__init__()
+        self._identity = identity
+        self._texts: list[str] = []
+
+    async def commit(self) -> None:
+        """Begin; nothing is written before the end."""
+
+    async def relay(self, frames: Sequence[DecodeFrame]) -> None:
+        """Gather the text."""
+        for frame in frames:
+            self.completion_tokens = max(self.completion_tokens, frame.completion_tokens)
+            if frame.kind is FrameKind.CONTENT:
+                self._texts.append(frame.text)
+
+    async def finish(self, body: bytes | None, trace: DecisionTrace | None) -> None:
+        """Write the completion."""
+        message = AssistantMessage(role="assistant", content="".join(self._texts))
+        completion = ChatCompletion(
+            id=self._identity.completion_id,
+            object="chat.completion",
+            created=self._identity.created,
+            model=self._identity.model,
+            choices=(CompletionChoice(index=0, message=message, finish_reason="stop"),),
+            usage=usage_of(self),
+            orchidpath=trace,
+        )
+        self.response = json_response(msgspec.json.encode(completion), self._identity.request_id)
+
+    async def break_stream(self, error: ErrorBody, trace: DecisionTrace | None) -> None:
+        """Answer with the error; nothing was written before."""
+        await self.reject(error, trace)
+
+
+class PlainSink(ResponseSink):
+    """The JSON body of a plain call."""
+
+    def __init__(self, request_id: str) -> None:
+        super().__init__()
+        self._request_id = request_id
+
+    async def commit(self) -> None:
+        """Begin; nothing is written before the end."""
+
+    async def relay(self, frames: Sequence[DecodeFrame]) -> None:
+        """Never called: a plain call has no frames."""
+
+    async def finish(self, body: bytes | None, trace: DecisionTrace | None) -> None:
+        """Write the body as the worker sent it; the trace goes into a header."""
+        self.response = json_response(body or b"null", self._request_id)
+        if trace is not None:
+            encoded = msgspec.json.encode(trace).decode("ascii", "replace")
+            self.response.headers["x-orchidpath-trace"] = encoded
+
+    async def break_stream(self, error: ErrorBody, trace: DecisionTrace | None) -> None:
+        """Answer with the error; nothing was written before."""
+        await self.reject(error, trace)
+
+
+def usage_of(sink: ResponseSink) -> Usage:
+    """Return the tokens that a sink has counted."""
+    total = sink.prompt_tokens + sink.completion_tokens
+    return Usage(
+        prompt_tokens=sink.prompt_tokens,
+        completion_tokens=sink.completion_tokens,
+        total_tokens=total,
+    )
+
+
+def json_response(body: bytes, request_id: str) -> web.Response:
+    """Make a successful JSON answer."""
+    headers = {REQUEST_ID_HEADER: request_id}
+    return web.Response(body=body, headers=headers, content_type="application/json")
+
+
+def close_uncleanly(request: web.Request) -> None:
+    """Close the caller's connection after what was written, without the end of the body."""
+    if request.transport is not None:
+        request.transport.close()
+
+
+def _event(value: msgspec.Struct) -> bytes:
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
--- /dev/null
+++ b/src/orchidpath/router/routing_state.py
@@ -0,0 +1,150 @@
+"""What one router derives from its adopted view: routes, candidates, budgets, circuits, admission.
+
+Everything is rebuilt when the view's revision grows, before the next decision is made, so every
+decision obeys the newest adopted view.
+"""
+
+from random import Random
+
+from orchidpath.circuit.fallback import FallbackCircuits
+from orchidpath.circuit.throttle import ThrottleDetector
+from orchidpath.router.decisions import FleetAccess
+from orchidpath.routing.admission import AdmissionController
+from orchidpath.routing.handover import HandoverLedger
+from orchidpath.routing.pairing import PairSelector
+from orchidpath.routing.request_events import SendRefusal
+from orchidpath.routing.retry_budget import RetryBudget
+from orchidpath.routing.route_table import RouteTable
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.messages import CircuitsView
+from orchidpath.wire.records import FleetView, Stage, WorkerRecord, WorkerStatus
+
+
+class RoutingState:
+    """The state that all requests of one router share.
+
+    Parameters
+    ----------
+    fleet
+        Gives the adopted view and the lease.
+    random
+        Source of randomness.
+    """
+
+    def __init__(self, fleet: FleetAccess, random: Random) -> None:
+        empty = Configuration()
+        self._fleet = fleet
+        self._revision: int | None = None
+        self._configuration = empty
+        self._workers: dict[str, WorkerRecord] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._router_count = 1
+        self.random = random
+        self.routes = RouteTable(empty)
+        self.admission = AdmissionController(empty.admission)
+        self.handover = HandoverLedger()
+        self.selector = PairSelector(self.handover.avoidance)
+        self.fallback = FallbackCircuits(empty.circuit, random)
+        self.throttle = ThrottleDetector(empty.circuit, random)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration of the adopted view."""
+        return self._configuration
+
+    def refresh(self) -> bool:
+        """Obey the newest adopted view; false while there is none."""
+        view = self._fleet.view()
+        if view is None:
+            return False
+        if view.revision != self._revision:
+            self.adopt(view)
+        return True
+
+    def adopt(self, view: FleetView) -> None:
+        """Rebuild what depends on the view."""
+        configuration = view.configuration
+        if configuration != self._configuration:
+            self._take_configuration(configuration)
+        self._revision = view.revision
+        self._workers = {worker.worker_id: worker for worker in view.workers}
+        self._router_count = max(len(view.routers), 1)
+        for budget in self._budgets.values():
+            budget.set_router_count(self._router_count)
+        self.selector.update_view(view)
+        self.fallback.set_workers(view.workers)
+        self.throttle.set_workers(view.workers)
+
+    def take_circuits(self, circuits: CircuitsView, now: float) -> None:
+        """Take the agreed circuits as the last known ones."""
+        if not self.fallback.take_view(circuits, now):
+            return
+        for capacity in circuits.capacities:
+            self.throttle.note_open(capacity.failure_domain, capacity.duration_seconds, now)
+
+    def worker(self, worker_id: str) -> WorkerRecord | None:
+        """Return a worker of the adopted view."""
+        return self._workers.get(worker_id)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service; services are bounded by the configuration."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._configuration.retry, self._router_count)
+            self._budgets[service] = budget
+        return budget
+
+    def send_refusal(
+        self, worker_id: str, incarnation: str, stage: Stage, now: float
+    ) -> SendRefusal | None:
+        """Say why an order may not be sent at this very moment.
+
+        Asked right before the first byte, since the lease or the worker's status may have changed
+        while the connection was being made.
+
+        Parameters
+        ----------
+        worker_id
+            The worker.
+        incarnation
+            Its incarnation when the order was made.
+        stage
+            The part that the order needs it to play.
+        now
+            Monotonic seconds.
+
+        Returns
+        -------
+        SendRefusal or None
+            None when the order may be sent.
+        """
+        if not self._fleet.is_fresh(now):
+            return SendRefusal.NOT_FRESH
+        self.refresh()
+        if not self._is_usable(worker_id, incarnation, stage):
+            return SendRefusal.WORKER_UNAVAILABLE
+        return None
+
+    def is_draining(self, worker_id: str) -> bool:
+        """Whether the worker itself told this router that it is draining."""
+        return self._fleet.locally_draining(worker_id)
+
+    def _is_usable(self, worker_id: str, incarnation: str, stage: Stage) -> bool:
+        worker = self._workers.get(worker_id)
+        if worker is None or worker.status is not WorkerStatus.READY or worker.held:
+            return False
+        if worker.stage is not stage or worker.incarnation != incarnation:
+            return False
+        return not self.is_draining(worker_id)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self.routes = RouteTable(configuration)
+        self.admission.set_policy(configuration.admission)
+        load_bound_factor = configuration.admission.load_bound_factor
+        self.fallback.set_policy(configuration.circuit, load_bound_factor)
+        self.throttle.set_policy(configuration.circuit)
+        names = {service.name for service in configuration.services}
+        self._budgets = {name: one for name, one in self._budgets.items() if name in names}
+        for budget in self._budgets.values():
+            budget.set_policy(configuration.retry)
--- /dev/null
+++ b/tests/router/edge_fakes.py
@@ -0,0 +1,419 @@
+"""A scripted back end and a fake fleet around one real HTTP edge, all on loopback."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from itertools import count
+from random import Random
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from orchidpath.common.clock import monotonic_seconds
+from orchidpath.common.settings import RouterSettings
+from orchidpath.router.decisions import FleetAccess
+from orchidpath.router.http_edge import EdgeServer, create_edge
+from orchidpath.wire.backend import (
+    ATTEMPT_HEADER,
+    Announcement,
+    AnnouncementReply,
+    CacheHandle,
+    CallReply,
+    CallRequest,
+    CancelReply,
+    DecodeFrame,
+    DecodeRequest,
+    ErrorBody,
+    ErrorCode,
+    ErrorEnvelope,
+    FrameKind,
+    PrefillReply,
+    PrefillRequest,
+    Ran,
+)
+from orchidpath.wire.configuration import (
+    AdmissionPolicy,
+    Configuration,
+    RetryPolicy,
+    Route,
+    Service,
+    ServiceKind,
+)
+from orchidpath.wire.messages import (
+    AttemptEffect,
+    AttemptReport,
+    CapacityObserved,
+    Choice,
+    DecisionReply,
+    DecisionRequest,
+    Leg,
+)
+from orchidpath.wire.records import FleetView, Stage, WorkerRecord
+
+WHOLE = (FrameKind.ROLE, FrameKind.CONTENT, FrameKind.CONTENT, FrameKind.USAGE, FrameKind.DONE)
+
+Order = PrefillRequest | DecodeRequest | CallRequest
+Script = Callable[[web.Request, Order], Awaitable[web.StreamResponse]]
+
+
+class FakeBackend:
+    """One back end: answers well unless a script says otherwise; records what reached it."""
+
+    def __init__(self, worker_id: str, stage: Stage) -> None:
+        self.worker_id = worker_id
+        self.stage = stage
+        self.scripts: deque[Script] = deque()
+        self.orders: list[Order] = []
+        self.ports: list[int] = []
+        self.transports: list[asyncio.Transport] = []
+        self.frames_sent = 0
+        self.cancelled: list[str] = []
+        self.cancel_ran = Ran.NO
+        self.url = ""
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def record(self) -> WorkerRecord:
+        service = "stock" if self.stage is Stage.PLAIN else "wine"
+        return WorkerRecord(
+            worker_id=self.worker_id,
+            incarnation="1",
+            service=service,
+            stage=self.stage,
+            url=self.url,
+            models=("wine",),
+        )
+
+    async def start(self) -> None:
+        application = web.Application()
+        application[WORKER] = self
+        application.router.add_post("/v1/prefill", self._endpoint(PrefillRequest, self._prefill))
+        application.router.add_post("/v1/decode", self._endpoint(DecodeRequest, self._decode))
+        application.router.add_post("/v1/call", self._endpoint(CallRequest, self._call))
+        application.router.add_post("/v1/attempts/{attempt_id}/cancel", self._cancel)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.url = f"http://127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        assert self._runner is not None
+        await self._runner.cleanup()
+
+    def _endpoint(
+        self, kind: type[Order], answer: Script
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def handler(request: web.Request) -> web.StreamResponse:
+            order = msgspec.json.decode(await request.read(), type=kind)
+            assert request.headers[ATTEMPT_HEADER] == order.attempt_id
+            self.orders.append(order)
+            assert request.transport is not None
+            self.ports.append(request.transport.get_extra_info("peername")[1])
+            self.transports.append(request.transport)
+            script = self.scripts.popleft() if self.scripts else answer
+            return await script(request, order)
+
+        return handler
+
+    async def answer_well(self, request: web.Request, order: Order) -> web.StreamResponse:
+        """Answer as without a script."""
+        if isinstance(order, PrefillRequest):
+            return await self._prefill(request, order)
+        if isinstance(order, DecodeRequest):
+            return await self._decode(request, order)
+        return await self._call(request, order)
+
+    async def _prefill(self, _request: web.Request, order: Order) -> web.StreamResponse:
+        handle = CacheHandle(
+            handle_id="h",
+            request_id=order.request_id,
+            attempt_id=order.attempt_id,
+            worker_id=self.worker_id,
+            incarnation="1",
+            url=self.url,
+            prompt_tokens=7,
+            expires_in_seconds=30.0,
+        )
+        reply = PrefillReply(
+            request_id=order.request_id,
+            attempt_id=order.attempt_id,
+            handle=handle,
+            cached_tokens=0,
+        )
+        return answer(reply, order.attempt_id)
+
+    async def _decode(self, request: web.Request, order: Order) -> web.StreamResponse:
+        return await frames(*WHOLE)(request, order)
+
+    async def _call(self, _request: web.Request, order: Order) -> web.StreamResponse:
+        assert isinstance(order, CallRequest)
+        reply = CallReply(
+            request_id=order.request_id, attempt_id=order.attempt_id, body=msgspec.Raw(b'{"n":3}')
+        )
+        return answer(reply, order.attempt_id)
+
+    async def _cancel(self, request: web.Request) -> web.StreamResponse:
+        attempt_id = request.match_info["attempt_id"]
+        self.cancelled.append(attempt_id)
+        reply = CancelReply(attempt_id=attempt_id, ran=self.cancel_ran, incarnation="1")
+        return answer(reply, attempt_id)
+
+
+WORKER = web.AppKey("worker", FakeBackend)
+
+
+def answer(value: msgspec.Struct, attempt_id: str, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), status=status, headers={ATTEMPT_HEADER: attempt_id}
+    )
+
+
+def refuse(code: ErrorCode, ran: Ran) -> Script:
+    """Answer with an error."""
+
+    async def script(_request: web.Request, order: Order) -> web.StreamResponse:
+        error = ErrorBody(code=code, message="scripted", ran=ran, attempt_id=order.attempt_id)
+        return answer(ErrorEnvelope(error=error), order.attempt_id, 503)
+
+    return script
+
+
+def crossed_call() -> Script:
+    """Answer a call as if it were another attempt's."""
+
+    async def script(_request: web.Request, order: Order) -> web.StreamResponse:
+        reply = CallReply(request_id="other", attempt_id="other", body=msgspec.Raw(b'"stolen"'))
+        return answer(reply, "other")
+
+    return script
+
+
+async def cut(request: web.Request, _order: Order) -> web.StreamResponse:
+    """Cut the connection before any answer."""
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+async def endless_after_a_gap(request: web.Request, order: Order) -> web.StreamResponse:
+    """Stream content for ever, with one frame lost."""
+    return await stream_for_ever(request, order, lost=1)
+
+
+async def frames_for_ever(request: web.Request, order: Order) -> web.StreamResponse:
+    """Stream content for ever."""
+    return await stream_for_ever(request, order, lost=None)
+
+
+async def stream_for_ever(
+    request: web.Request, order: Order, lost: int | None
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers={ATTEMPT_HEADER: order.attempt_id})
+    await response.prepare(request)
+    for sequence in count():
+        frame = DecodeFrame(
+            request_id=order.request_id,
+            attempt_id=order.attempt_id,
+            sequence=sequence,
+            kind=FrameKind.CONTENT,
+            text="word ",
+        )
+        if sequence != lost:
+            await response.write(b"data: " + msgspec.json.encode(frame) + b"\n\n")
+            request.app[WORKER].frames_sent += 1
+        await asyncio.sleep(0.005)
+    return response
+
+
+async def hang(_request: web.Request, _order: Order) -> web.StreamResponse:
+    """Never answer."""
+    await asyncio.sleep(60)
+    return web.Response()
+
+
+def frames(
+    *kinds: FrameKind,
+    lost: int | None = None,
+    attempt_id: str | None = None,
+    then_hang: bool = False,
+    text: str = "word ",
+) -> Script:
+    """Stream these frames, perhaps without one of them, or with another attempt's id inside."""
+
+    async def script(request: web.Request, order: Order) -> web.StreamResponse:
+        response = web.StreamResponse(headers={ATTEMPT_HEADER: order.attempt_id})
+        await response.prepare(request)
+        for sequence, kind in enumerate(kinds):
+            if sequence == lost:
+                continue
+            frame = DecodeFrame(
+                request_id=order.request_id,
+                attempt_id=attempt_id or order.attempt_id,
+                sequence=sequence,
+                kind=kind,
+                text=text if kind is FrameKind.CONTENT else "",
+                completion_tokens=2 if kind is FrameKind.USAGE else 0,
+            )
+            await response.write(b"data: " + msgspec.json.encode(frame) + b"\n\n")
+            request.app[WORKER].frames_sent += 1
+        if then_hang:
+            await asyncio.sleep(60)
+        return response
+
+    return script
+
+
+class FakeFleet(FleetAccess):
+    """A fleet that is fresh and chooses the first untried candidate, unless told otherwise."""
+
+    def __init__(self, view: FleetView) -> None:
+        self.current: FleetView | None = view
+        self.fresh = True
+        self.leader_answers = True
+        self.draining: set[str] = set()
+        self.requests: list[DecisionRequest] = []
+        self.reports: list[AttemptReport] = []
+        self.announced: list[Announcement] = []
+        self.on_decide: Callable[[], None] = lambda: None
+
+    def view(self) -> FleetView | None:
+        return self.current
+
+    def is_fresh(self, now: float) -> bool:
+        return self.fresh
+
+    def freshness_reason(self, now: float) -> str:
+        return "" if self.fresh else "no lease"
+
+    def seconds_until_fresh_hint(self) -> float:
+        return 1.2
+
+    async def decide(
+        self, request: DecisionRequest, timeout_seconds: float
+    ) -> DecisionReply | None:
+        self.requests.append(request)
+        self.on_decide()
+        if not self.leader_answers:
+            return None
+        choices = tuple(
+            Choice(stage=leg.stage, worker_id=first_choice(leg)) for leg in request.legs
+        )
+        return DecisionReply(correlation=request.correlation, term=1, choices=choices)
+
+    def report(self, reports: Sequence[AttemptReport]) -> None:
+        self.reports.extend(reports)
+
+    def observe_capacity(self, observed: CapacityObserved) -> None:
+        raise NotImplementedError
+
+    async def announce(self, announcement: Announcement) -> AnnouncementReply:
+        self.announced.append(announcement)
+        return AnnouncementReply(accepted=True)
+
+    def locally_draining(self, worker_id: str) -> bool:
+        return worker_id in self.draining
+
+    def effects(self, worker_id: str) -> list[AttemptEffect]:
+        return [one.effect for one in self.reports if one.worker_id == worker_id]
+
+
+def first_choice(leg: Leg) -> str:
+    """Return the first untried candidate."""
+    untried = [one for one in leg.candidates if one not in leg.tried]
+    return (untried or list(leg.candidates))[0]
+
+
+class Site:
+    """An edge, its back ends and a client session."""
+
+    def __init__(self, backends: dict[str, FakeBackend], fleet: FakeFleet) -> None:
+        self.backends = backends
+        self.fleet = fleet
+        settings = RouterSettings(
+            node_id="router",
+            fleet="fleet",
+            wire_address="127.0.0.1:0",
+            http_address="127.0.0.1:0",
+            seeds=[],
+        )
+        self.edge: EdgeServer = create_edge(settings, fleet, Random(7), monotonic_seconds)
+        self.session = aiohttp.ClientSession()
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.edge.address}"
+
+    def post_chat(
+        self, *, stream: bool = True, model: str = "wine", headers: dict[str, str] | None = None
+    ) -> "aiohttp.client._RequestContextManager":
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": "Which wine?"}],
+            "stream": stream,
+            "max_tokens": 8,
+        }
+        url = f"{self.url}/v1/chat/completions"
+        return self.session.post(url, json=body, headers=headers or {})
+
+
+def view_of(
+    backends: Sequence[FakeBackend], *, repeatable: bool, admission: AdmissionPolicy | None = None
+) -> FleetView:
+    configuration = Configuration(
+        services=[
+            Service(name="wine", kind=ServiceKind.MODEL, models=["wine"]),
+            Service(name="stock", kind=ServiceKind.PLAIN),
+        ],
+        routes=[
+            Route(
+                name="wine",
+                service="wine",
+                model="wine",
+                repeatable=repeatable,
+                first_token_timeout_seconds=2.0,
+                stall_timeout_seconds=0.2,
+            ),
+            Route(
+                name="stock",
+                service="stock",
+                method="GET",
+                path="/stock/{id}",
+                repeatable=repeatable,
+            ),
+        ],
+        retry=RetryPolicy(budget_minimum_per_second=100.0, backoff_base_seconds=0.001),
+        admission=admission or AdmissionPolicy(),
+    )
+    return FleetView(
+        revision=1,
+        configuration_version=1,
+        configuration=configuration,
+        workers=tuple(backend.record for backend in backends),
+    )
+
+
+@asynccontextmanager
+async def running_site(
+    *, repeatable: bool = True, admission: AdmissionPolicy | None = None
+) -> AsyncIterator[Site]:
+    """Run an edge with two workers for each stage."""
+    stages = {"p": Stage.PREFILL, "d": Stage.DECODE, "s": Stage.PLAIN}
+    backends = {
+        f"{letter}{number}": FakeBackend(f"{letter}{number}", stage)
+        for letter, stage in stages.items()
+        for number in (1, 2)
+    }
+    for backend in backends.values():
+        await backend.start()
+    view = view_of(list(backends.values()), repeatable=repeatable, admission=admission)
+    site = Site(backends, FakeFleet(view))
+    await site.edge.start()
+    try:
+        yield site
+    finally:
+        await site.session.close()
+        await site.edge.stop(0.0)
+        for backend in backends.values():
+            await backend.stop()
