--- /dev/null
+++ b/src/orchidpath/cli/standin.py
@@ -0,0 +1,261 @@
+"""Commands that run stand-ins: emulated model workers, plain services and callers.
+
+An option that sets one field of a settings struct bears the field's name, and its default is the
+struct's own.
+"""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+from urllib.parse import urlsplit
+
+import click
+import msgspec
+
+from orchidpath.standins.backend_shell import BackendSettings, BackendShell
+from orchidpath.standins.caller import CallerSettings
+from orchidpath.standins.caller_report import CallerProgress, CallerSummary
+from orchidpath.standins.http_exchange import base_url
+from orchidpath.standins.process import run_backend, run_callers
+from orchidpath.standins.return_policy import ReturnPolicy
+from orchidpath.standins.service import PlainService, ServiceTiming
+from orchidpath.standins.traffic_mix import TrafficMix, TrafficMixError, decode_traffic_mix
+from orchidpath.standins.worker import ModelWorker
+from orchidpath.standins.worker_model import WorkerTiming
+from orchidpath.wire.records import Stage, WorkerRecord
+
+T = TypeVar("T")
+Command = TypeVar("Command", bound=Callable[..., None])
+
+ValueType = click.FloatRange | click.IntRange
+
+INCARNATION_BYTES = 8
+
+VIOLATION_STATUS = 1
+"""Exit status of callers that saw a violation."""
+
+POSITIVE = click.FloatRange(min=0, min_open=True)
+NOT_NEGATIVE = click.FloatRange(min=0)
+COUNT = click.IntRange(min=1)
+
+
+class InputError(click.ClickException):
+    """Input that cannot be used; told in one line."""
+
+    exit_code = 2
+
+
+def read_addresses(
+    context: click.Context, parameter: click.Parameter, addresses: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Check HTTP addresses and return them as base addresses."""
+    for address in addresses:
+        try:
+            parts = urlsplit(base_url(address))
+            is_usable = parts.scheme == "http" and bool(parts.hostname) and parts.port is not None
+        except ValueError:
+            is_usable = False
+        if not is_usable:
+            raise click.BadParameter(f"{address!r} is no http address with a port")
+    return tuple(base_url(address) for address in addresses)
+
+
+def field_option(
+    kind: type[msgspec.Struct], field: str, value_type: ValueType, help_text: str
+) -> Callable[[Command], Command]:
+    """Return the option that sets one field of a settings struct.
+
+    Parameters
+    ----------
+    kind : type
+        The struct.
+    field : str
+        Name of the field.
+    value_type : ValueType
+        Checks the value.
+    help_text : str
+        Shown by ``--help``.
+
+    Returns
+    -------
+    callable
+        The decorator.
+    """
+    default = next(found.default for found in msgspec.structs.fields(kind) if found.name == field)
+    name = "--" + field.replace("_", "-")
+    return click.option(name, type=value_type, default=default, show_default=True, help=help_text)
+
+
+def make_struct(kind: type[T], options: dict[str, object]) -> T:
+    """Make a struct of the options that bear its fields' names."""
+    names = {name for name in kind.__struct_fields__ if name in options}  # type: ignore[attr-defined]
+    return msgspec.convert({name: options[name] for name in names}, type=kind)
+
+
+def backend_options(command: Command) -> Command:
+    """Add the options that every back end has."""
+    options = [
+        click.option("--id", "worker_id", required=True, help="Name, unique in the fleet."),
+        click.option("--service", required=True, help="Service that the worker belongs to."),
+        click.option("--host", default="127.0.0.1", show_default=True, help="IP address."),
+        field_option(BackendSettings, "port", click.IntRange(0, 65535), "0: the system chooses."),
+        click.option("--zone", default="", help="Zone that is announced."),
+        click.option("--failure-domain", default="", help="Failure domain that is announced."),
+        click.option(
+            "--announce",
+            multiple=True,
+            metavar="URL",
+            callback=read_addresses,
+            help="HTTP address of a router or control process; several allowed.",
+        ),
+        field_option(BackendSettings, "drain_seconds", NOT_NEGATIVE, "Longest wait at SIGTERM."),
+        click.option(
+            "--execution-log",
+            default="",
+            metavar="FILE",
+            help="Append a JSON line before every execution; survives a killed process.",
+        ),
+    ]
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+def timing_options(command: Command) -> Command:
+    """Add the options of a model worker's speeds and capacities."""
+    described: list[tuple[str, ValueType, str]] = [
+        ("prefill_tokens_per_second", POSITIVE, "Speed of reading uncached prompt tokens."),
+        ("prefill_overhead_seconds", NOT_NEGATIVE, "Time of every prompt read."),
+        ("decode_tokens_per_second", POSITIVE, "Speed of a stream that is alone."),
+        ("batch_slowdown", NOT_NEGATIVE, "Share by which a further stream slows all."),
+        ("kv_bytes_per_token", COUNT, "Size of the KV cache of a prompt token."),
+        ("link_bytes_per_second", POSITIVE, "Bandwidth of the hand-over."),
+        ("max_in_flight", COUNT, "Attempts at once; more are refused as overloaded."),
+        ("cache_capacity_tokens", COUNT, "Capacity of the prefix cache."),
+        ("handle_lifetime_seconds", POSITIVE, "Time after which an unused handle lapses."),
+        ("transfer_timeout_seconds", POSITIVE, "Longest wait for a hand-over."),
+        ("tokens_per_frame", COUNT, "Tokens of one frame of a stream."),
+    ]
+    for field, value_type, help_text in reversed(described):
+        command = field_option(WorkerTiming, field, value_type, help_text)(command)
+    return command
+
+
+@click.group()
+def standin() -> None:
+    """Run an emulated worker, service or caller against a fleet."""
+
+
+@standin.command()
+@backend_options
+@click.option(
+    "--stage",
+    type=click.Choice([Stage.PREFILL.value, Stage.DECODE.value]),
+    required=True,
+    help="Stage at the start; orders change it.",
+)
+@click.option("--model", "models", multiple=True, required=True, help="Model; several allowed.")
+@timing_options
+def worker(**options: object) -> None:
+    """Run an emulated model worker.
+
+    Prints one JSON line with its address once it listens. POST a fault to /v1/faults to break it,
+    for example {"kind": "go_dark", "seconds": 5}.
+    """
+    record = _make_record(options)
+    settings = make_struct(BackendSettings, options)
+    timing = make_struct(WorkerTiming, options)
+    _run(lambda: ModelWorker(record, settings, timing))
+
+
+@standin.command()
+@backend_options
+@field_option(ServiceTiming, "median_seconds", POSITIVE, "Median latency.")
+@field_option(ServiceTiming, "sigma", NOT_NEGATIVE, "Spread of the log-normal latency.")
+@field_option(ServiceTiming, "maximum_seconds", POSITIVE, "Longest latency.")
+@field_option(ServiceTiming, "max_in_flight", COUNT, "Calls at once; more are refused.")
+def service(**options: object) -> None:
+    """Run an emulated worker of a plain service."""
+    record = _make_record({**options, "stage": Stage.PLAIN.value})
+    settings = make_struct(BackendSettings, options)
+    timing = make_struct(ServiceTiming, options)
+    _run(lambda: PlainService(record, settings, timing, random.Random(record.worker_id)))
+
+
+@standin.command()
+@click.option(
+    "--router",
+    "routers",
+    multiple=True,
+    required=True,
+    metavar="URL",
+    callback=read_addresses,
+    help="HTTP address of a router; several allowed.",
+)
+@click.option(
+    "--mix",
+    "mix_file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    required=True,
+    help="Traffic mix, .toml or .json.",
+)
+@click.option("--for", "for_seconds", type=POSITIVE, required=True, help="Seconds of sending.")
+@field_option(CallerSettings, "seed", click.IntRange(), "Seed of the traffic.")
+@click.option("--run-id", default="", help="Begins every request id; random by default.")
+@field_option(CallerSettings, "timeout_seconds", POSITIVE, "Longest wait for one answer.")
+@field_option(CallerSettings, "drain_seconds", NOT_NEGATIVE, "Longest wait at the end.")
+@field_option(ReturnPolicy, "max_returns", click.IntRange(min=0), "Returns of a refused caller.")
+@click.option("--history", default="", metavar="FILE", help="Append a JSON line for each request.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON line a second and a summary.")
+def caller(mix_file: Path, run_id: str, as_json: bool, **options: object) -> None:
+    """Send a traffic mix to routers and verify every answer.
+
+    Exits with 1 if any answer was wrong, or incomplete without looking so.
+    """
+    options["mix"] = _read_mix(mix_file)
+    options["run_id"] = run_id or secrets.token_hex(INCARNATION_BYTES)
+    options["returns"] = make_struct(ReturnPolicy, options)
+    settings = make_struct(CallerSettings, options)
+    write = _write_json if as_json else _write_progress
+    try:
+        summary = asyncio.run(run_callers(settings, write))
+    except OSError as problem:
+        raise InputError(f"cannot write the history: {problem}") from problem
+    _write_json(summary)
+    if summary.violations:
+        raise SystemExit(VIOLATION_STATUS)
+
+
+def _make_record(options: dict[str, object]) -> WorkerRecord:
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    return make_struct(WorkerRecord, {**options, "incarnation": incarnation, "url": ""})
+
+
+def _run(make: Callable[[], BackendShell]) -> None:
+    try:
+        asyncio.run(run_backend(make, click.echo))
+    except OSError as problem:
+        raise InputError(f"cannot listen or write the log: {problem}") from problem
+
+
+def _read_mix(mix_file: Path) -> TrafficMix:
+    try:
+        return decode_traffic_mix(mix_file.read_bytes(), mix_file.suffix == ".toml")
+    except TrafficMixError as problem:
+        raise InputError(f"{mix_file}: {problem}") from problem
+
+
+def _write_json(report: CallerProgress | CallerSummary) -> None:
+    click.echo(msgspec.json.encode(report).decode())
+
+
+def _write_progress(progress: CallerProgress) -> None:
+    counts = progress.outcomes
+    click.echo(
+        f"{progress.second} s: {progress.due} due, {progress.outstanding} outstanding, "
+        f"{counts.answered} answered, {counts.refused} refused, {counts.broken} broken, "
+        f"{counts.wrong_content + counts.incomplete_but_clean} violations"
+    )
--- /dev/null
+++ b/src/orchidpath/standins/backend_shell.py
@@ -0,0 +1,297 @@
+"""The asyncio shell that emulated model workers and plain services share."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from typing import IO
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from aiohttp.typedefs import Middleware
+
+from orchidpath.standins.announce_loop import AnnounceLoop
+from orchidpath.standins.announcing import Announcer
+from orchidpath.standins.attempts import Phase
+from orchidpath.standins.backend_core import AttemptOrder, BackendCore
+from orchidpath.standins.faults import Fault, FaultBoard, FaultKind, FaultReply
+from orchidpath.standins.http_exchange import (
+    MAX_BODY_BYTES,
+    abort_connection,
+    error_response,
+    json_response,
+    read_struct,
+)
+from orchidpath.standins.polling import wait_until
+from orchidpath.wire.backend import (
+    ErrorCode,
+    OrderKind,
+    Ran,
+    WorkerOrder,
+)
+from orchidpath.wire.records import WorkerRecord
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+NEVER_DARK_PATHS = frozenset({"/v1/faults", "/v1/status", "/v1/executions"})
+"""The test's own entrances, answered whatever fault lasts."""
+
+TELL_DRAINING_SECONDS = 1.0
+"""Longest wait of an ending process until somebody has taken its announcement of draining."""
+
+CRASH_STATUS = 70
+"""Exit status of an injected crash."""
+
+
+class BackendSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a back end listens and whom it tells.
+
+    ``execution_log`` names a file to which every start of an execution is appended before the
+    work begins; it survives a killed process.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    announce: tuple[str, ...] = ()
+    drain_seconds: float = 10.0
+    execution_log: str = ""
+
+
+class BackendShell:
+    """Serves what every back end serves; subclasses add their own work.
+
+    Parameters
+    ----------
+    record : WorkerRecord
+        How the back end announces itself; the URL is filled in once the port is known.
+    settings : BackendSettings
+        Where to listen and whom to tell.
+    max_in_flight : int
+        Attempts worked on at once.
+    """
+
+    def __init__(self, record: WorkerRecord, settings: BackendSettings, max_in_flight: int) -> None:
+        self.core = BackendCore(record, max_in_flight)
+        self.faults = FaultBoard()
+        self.settings = settings
+        self._announce_loop: AnnounceLoop | None = None
+        self._announce_task: asyncio.Task[None] | None = None
+        self._runner: web.AppRunner | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._log_file: IO[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        """The base address, known after :meth:`start`."""
+        return self.core.record.url
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The client session for announcements and hand-overs."""
+        if self._session is None:
+            # A connection is never reused: a repeated GET must not be sent behind our back.
+            connector = aiohttp.TCPConnector(force_close=True, limit=0)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+    async def start(self) -> str:
+        """Listen, begin to announce, and return the base address."""
+        if self.settings.execution_log:
+            self._log_file = open(self.settings.execution_log, "ab", buffering=0)  # noqa: ASYNC230, SIM115
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._darkness()])
+        self.add_routes(app)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self.settings.host, self.settings.port).start()
+        port = self._runner.addresses[0][1]
+        self.core.set_url(f"http://{self.settings.host}:{port}")
+        self._begin_to_announce()
+        return self.url
+
+    def _begin_to_announce(self) -> None:
+        announcer = Announcer(self.core.record.worker_id, list(self.settings.announce))
+        self._announce_loop = AnnounceLoop(
+            announcer, self.session, lambda: self.core.record, self._is_silent
+        )
+        self._announce_task = asyncio.create_task(self._announce_loop.run())
+
+    def announce_change(self) -> None:
+        """Announce at once if anything has changed."""
+        if self._announce_loop is not None:
+            self._announce_loop.wake()
+
+    def _has_told(self) -> bool:
+        return self._announce_loop is None or self._announce_loop.has_told(self.core.record)
+
+    async def stop(self) -> None:
+        """Stop listening and announcing."""
+        if self._announce_task is not None:
+            self._announce_task.cancel()
+            await asyncio.gather(self._announce_task, return_exceptions=True)
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._session is not None:
+            await self._session.close()
+        if self._log_file is not None:
+            self._log_file.close()
+
+    async def drain_and_stop(self) -> None:
+        """Announce draining, finish what runs within a bounded time, then stop."""
+        self.core.terminate()
+        self.announce_change()
+        deadline = self.now() + self.settings.drain_seconds
+        await wait_until(self._has_told, min(deadline, self.now() + TELL_DRAINING_SECONDS))
+        await wait_until(lambda: not self._is_busy(), deadline)
+        await self.stop()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the endpoints; subclasses add theirs."""
+        app.router.add_post("/v1/attempts/{attempt_id}/cancel", self._cancel)
+        app.router.add_post("/v1/orders", self._orders)
+        app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/executions", self._executions)
+        app.router.add_post("/v1/faults", self._post_fault)
+
+    def now(self) -> float:
+        """Return the monotonic time of the running loop."""
+        return asyncio.get_running_loop().time()
+
+    def handles_outstanding(self) -> int:
+        """Return how many KV caches are held for a hand-over."""
+        return 0
+
+    def on_cancelled(self, attempt_id: str) -> None:
+        """Free what a cancelled attempt holds."""
+
+    def on_stage_set(self) -> None:
+        """Forget what belonged to the former stage."""
+
+    def lapse_handles(self) -> None:
+        """Drop every handle."""
+
+    async def admitted(
+        self, order: AttemptOrder, work: Callable[[], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        """Run work under admission control.
+
+        Parameters
+        ----------
+        order : AttemptOrder
+            What is ordered.
+        work : callable
+            Called when the attempt was taken in; its place is given back afterwards.
+
+        Returns
+        -------
+        web.StreamResponse
+            The answer of the work, or the refusal.
+        """
+        refuse_all = self.faults.take(FaultKind.REFUSE_ALL, self.now()) is not None
+        refusal = self.core.admit(order, self.now(), refuse_all)
+        if refusal is not None:
+            return error_response(refusal)
+        try:
+            return await work()
+        finally:
+            self.core.leave(order, self.now())
+
+    def begin(self, order: AttemptOrder) -> web.Response | None:
+        """Start an admitted attempt: log and count it, or answer that it was cancelled."""
+        if self.core.start(order, self.now()):
+            record = self.core.log.add(order.phase, order.request_id, order.attempt_id)
+            if self._log_file is not None:
+                self._log_file.write(msgspec.json.encode(record) + b"\n")
+            return None
+        ran = self.core.attempts.ran(order.attempt_id, order.phase)
+        return error_response(
+            self.core.error(order, ErrorCode.ATTEMPT_REFUSED, "cancelled before its start", ran)
+        )
+
+    async def spoil_answer(self, request: web.Request, order: AttemptOrder) -> web.Response | None:
+        """Apply the faults that follow the work and precede its answer."""
+        late = self.faults.take(FaultKind.ANSWER_LATE, self.now())
+        if late is not None:
+            await asyncio.sleep(late.delay_seconds)
+        if self.faults.take(FaultKind.FAIL_NEXT, self.now()) is not None:
+            error = self.core.error(order, ErrorCode.INTERNAL, "injected failure", Ran.UNKNOWN)
+            return error_response(error)
+        # A stream is cut later, after some of its frames.
+        streamed = order.phase is Phase.EXECUTION and self.streams()
+        if not streamed and self.faults.take(FaultKind.TRUNCATE, self.now()) is not None:
+            abort_connection(request)
+            return web.Response()
+        return None
+
+    def streams(self) -> bool:
+        """Tell whether executions are answered by a stream."""
+        return False
+
+    def answer_identity(self, order: AttemptOrder) -> AttemptOrder:
+        """Return whose answer is sent: the attempt's own, or by a fault another one's."""
+        if self.faults.take(FaultKind.WRONG_ATTEMPT_ECHO, self.now()) is None:
+            return order
+        return msgspec.structs.replace(
+            order, request_id=f"{order.request_id}-other", attempt_id=f"{order.attempt_id}-other"
+        )
+
+    def _is_busy(self) -> bool:
+        return self.core.limit.current > 0 or self.handles_outstanding() > 0
+
+    def _is_silent(self) -> bool:
+        dark = self.faults.active(FaultKind.GO_DARK, self.now())
+        return dark is not None and not dark.keep_announcing
+
+    def _darkness(self) -> Middleware:
+        @web.middleware
+        async def wait_while_dark(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path not in NEVER_DARK_PATHS:
+                await self.wait_while(FaultKind.GO_DARK)
+            return await handler(request)
+
+        return wait_while_dark
+
+    async def wait_while(self, kind: FaultKind) -> None:
+        """Wait until no fault of this kind lasts."""
+        await wait_until(lambda: self.faults.active(kind, self.now()) is None)
+
+    async def _cancel(self, request: web.Request) -> web.StreamResponse:
+        attempt_id = request.match_info["attempt_id"]
+        reply = self.core.cancel(attempt_id, self.now())
+        self.on_cancelled(attempt_id)
+        return json_response(reply, attempt_id=attempt_id)
+
+    async def _orders(self, request: web.Request) -> web.StreamResponse:
+        order = await read_struct(request, WorkerOrder)
+        reply = self.core.obey(order, self.handles_outstanding())
+        if reply.accepted and order.kind is OrderKind.SET_STAGE:
+            self.on_stage_set()
+        self.announce_change()
+        return json_response(reply)
+
+    async def _status(self, request: web.Request) -> web.StreamResponse:
+        return json_response(self.core.report(self.handles_outstanding()))
+
+    async def _executions(self, request: web.Request) -> web.StreamResponse:
+        after = request.query.get("after", "0")
+        return json_response(self.core.log.after(int(after) if after.isdecimal() else 0))
+
+    async def _post_fault(self, request: web.Request) -> web.StreamResponse:
+        fault = await read_struct(request, Fault)
+        self._inject(fault)
+        return json_response(FaultReply(active=self.faults.list_active(self.now())))
+
+    def _inject(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.CRASH:
+                os._exit(CRASH_STATUS)
+            case FaultKind.LAPSE_HANDLES:
+                self.lapse_handles()
+            case FaultKind.CLEAR:
+                self.faults.clear()
+            case FaultKind.DRAIN:
+                self.core.drain()
+            case FaultKind.RESUME:
+                self.core.resume()
+            case _:
+                self.faults.add(fault, self.now())
+        self.announce_change()
--- /dev/null
+++ b/src/orchidpath/standins/hand_over.py
@@ -0,0 +1,121 @@
+"""The decode side of a hand-over: pulls the KV cache from the prefill worker."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from orchidpath.standins.faults import FaultBoard, FaultKind
+from orchidpath.standins.http_exchange import base_url
+from orchidpath.wire.backend import CacheHandle, DecodeRequest, ErrorCode, ErrorEnvelope
+
+DENIALS = frozenset({ErrorCode.HANDLE_LAPSED, ErrorCode.HANDLE_MISMATCH})
+"""Codes by which a prefill worker denies a handle."""
+
+
+class KvTransfer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /v1/kv/{handle_id}``: stands for the bytes of the KV cache."""
+
+    request_id: str
+    attempt_id: str
+    handle_id: str
+    prompt_tokens: int
+    kv_bytes: int
+
+
+class HandOverFailure(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a KV cache could not be had: its prefill worker denied it, or was not reached."""
+
+    code: ErrorCode
+    message: str
+
+
+class CachePuller:
+    """Pulls KV caches for one decode worker.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Must not reuse connections: a handle is good for one request only.
+    faults : FaultBoard
+        May cut or slow the link to a prefill worker.
+    worker_id : str
+        The decode worker.
+    timeout_seconds : float
+        Longest wait for one KV cache.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        faults: FaultBoard,
+        worker_id: str,
+        timeout_seconds: float,
+    ) -> None:
+        self._session = session
+        self._faults = faults
+        self._worker_id = worker_id
+        self._timeout_seconds = timeout_seconds
+
+    async def pull(self, order: DecodeRequest) -> HandOverFailure | None:
+        """Pull the KV cache that an order names.
+
+        Parameters
+        ----------
+        order : DecodeRequest
+            Its handle must be bound to its own request and attempt.
+
+        Returns
+        -------
+        HandOverFailure or None
+            None when the whole KV cache is here.
+        """
+        handle = order.handle
+        if (handle.request_id, handle.attempt_id) != (order.request_id, order.attempt_id):
+            return _mismatch("the handle belongs to another attempt")
+        clock = asyncio.get_running_loop().time
+        if self._faults.take(FaultKind.CUT_LINK, clock(), handle.worker_id) is not None:
+            return _unreachable(handle, "link cut")
+        began_at = clock()
+        try:
+            async with asyncio.timeout(self._timeout_seconds):
+                failure = await self._fetch(handle)
+                factor = self._faults.factor(FaultKind.SLOW_LINK, clock(), handle.worker_id)
+                await asyncio.sleep((factor - 1.0) * (clock() - began_at))
+                return failure
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError) as problem:
+            return _unreachable(handle, type(problem).__name__)
+
+    async def _fetch(self, handle: CacheHandle) -> HandOverFailure | None:
+        url = f"{base_url(handle.url)}/v1/kv/{handle.handle_id}"
+        query = {
+            "request_id": handle.request_id,
+            "attempt_id": handle.attempt_id,
+            "incarnation": handle.incarnation,
+            "decode_worker": self._worker_id,
+        }
+        async with self._session.get(url, params=query) as response:
+            content = await response.read()
+        if response.status != 200:
+            return _denied(handle, content)
+        transfer = msgspec.json.decode(content, type=KvTransfer)
+        if (transfer.request_id, transfer.attempt_id) != (handle.request_id, handle.attempt_id):
+            return _mismatch("another attempt's KV cache came")
+        return None
+
+
+def _mismatch(message: str) -> HandOverFailure:
+    return HandOverFailure(code=ErrorCode.HANDLE_MISMATCH, message=message)
+
+
+def _unreachable(handle: CacheHandle, cause: str) -> HandOverFailure:
+    message = f"prefill worker {handle.worker_id} unreachable: {cause}"
+    return HandOverFailure(code=ErrorCode.UPSTREAM_FAILED, message=message)
+
+
+def _denied(handle: CacheHandle, content: bytes) -> HandOverFailure:
+    error = msgspec.json.decode(content, type=ErrorEnvelope).error
+    if error.code not in DENIALS:
+        return _unreachable(handle, error.code)
+    message = f"prefill worker {handle.worker_id} denied the handle: {error.message}"
+    return HandOverFailure(code=error.code, message=message)
--- /dev/null
+++ b/src/orchidpath/standins/order_fence.py
@@ -0,0 +1,34 @@
+"""The fence of a worker's orders: an order from a deposed leader is refused."""
+
+from orchidpath.wire.backend import WorkerOrder
+
+
+class OrderFence:
+    """The highest ``(term, sequence)`` that an incarnation has seen.
+
+    The fence rises with every order that is addressed to this incarnation, also with one that is
+    then refused for another reason: a lower one that arrives later must not be obeyed either way.
+    """
+
+    def __init__(self) -> None:
+        self.term = 0
+        self.sequence = 0
+
+    def pass_order(self, order: WorkerOrder) -> bool:
+        """Raise the fence to an order above it; tell whether the order was above it.
+
+        Parameters
+        ----------
+        order : WorkerOrder
+            An order addressed to this incarnation.
+
+        Returns
+        -------
+        bool
+            False for a repeated or older order, which must not be obeyed.
+        """
+        if (order.term, order.sequence) <= (self.term, self.sequence):
+            return False
+        self.term = order.term
+        self.sequence = order.sequence
+        return True
--- /dev/null
+++ b/src/orchidpath/standins/reports.py
@@ -0,0 +1,114 @@
+"""What an emulated back end tells about itself, for tests and checkers."""
+
+from collections import deque
+
+import msgspec
+
+from orchidpath.standins.attempts import Phase
+from orchidpath.wire.records import Stage, WorkerStatus
+
+MAX_LOGGED_EXECUTIONS = 100_000
+"""Bound on the execution records held in memory."""
+
+
+class ExecutionRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of a prompt read or of an execution; ``number`` counts from 1."""
+
+    number: int
+    worker_id: str
+    incarnation: str
+    phase: Phase
+    request_id: str
+    attempt_id: str
+
+
+class ExecutionList(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /v1/executions?after=NUMBER``."""
+
+    worker_id: str
+    incarnation: str
+    executions: tuple[ExecutionRecord, ...]
+
+
+class ExecutionLog:
+    """The newest execution records of one incarnation.
+
+    Parameters
+    ----------
+    worker_id, incarnation : str
+        Whose executions these are.
+    maximum : int
+        Bound on the records held.
+    """
+
+    def __init__(
+        self, worker_id: str, incarnation: str, maximum: int = MAX_LOGGED_EXECUTIONS
+    ) -> None:
+        self._worker_id = worker_id
+        self._incarnation = incarnation
+        self._records: deque[ExecutionRecord] = deque(maxlen=maximum)
+        self._number = 0
+
+    def add(self, phase: Phase, request_id: str, attempt_id: str) -> ExecutionRecord:
+        """Record one start."""
+        self._number += 1
+        record = ExecutionRecord(
+            number=self._number,
+            worker_id=self._worker_id,
+            incarnation=self._incarnation,
+            phase=phase,
+            request_id=request_id,
+            attempt_id=attempt_id,
+        )
+        self._records.append(record)
+        return record
+
+    def after(self, number: int) -> ExecutionList:
+        """Return the records above a number."""
+        return ExecutionList(
+            worker_id=self._worker_id,
+            incarnation=self._incarnation,
+            executions=tuple(record for record in self._records if record.number > number),
+        )
+
+
+class BackendCounts(msgspec.Struct, kw_only=True):
+    """Counters of one incarnation; all of them only grow."""
+
+    frames: int = 0
+    refused: int = 0
+    cancelled: int = 0
+    streams_cut: int = 0
+    cache_hits: int = 0
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    handles_granted: int = 0
+    handles_denied: int = 0
+    hand_overs_failed: int = 0
+    orders_obeyed: int = 0
+    orders_refused: int = 0
+
+
+class BackendReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /v1/status``.
+
+    ``max_executions_by_request`` above 1 means that a request ran more than once on this worker;
+    ``repeated_requests`` names such requests (bounded).
+    """
+
+    worker_id: str
+    incarnation: str
+    service: str
+    stage: Stage
+    status: WorkerStatus
+    in_flight: int
+    highest_in_flight: int
+    handles_outstanding: int
+    executions: int
+    max_executions_by_request: int
+    repeated_requests: tuple[str, ...]
+    prompt_reads: int
+    max_prompt_reads_by_request: int
+    highest_term: int
+    highest_sequence: int
+    counts: BackendCounts
--- /dev/null
+++ b/src/orchidpath/standins/router_client.py
@@ -0,0 +1,235 @@
+"""Sends one request of a caller to one router and judges the answer."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from orchidpath.standins.caller_report import RequestResult, TimeRecorder, result_of
+from orchidpath.standins.request_plan import PlannedRequest
+from orchidpath.standins.traffic_mix import TrafficKind
+from orchidpath.standins.verification import (
+    Outcome,
+    StreamVerifier,
+    judge_call,
+    read_error,
+)
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+"""A router that does not take a connection for so long is passed over."""
+
+READ_BUFFER_BYTES = 4096
+"""Small, so that a slow reader is felt by the router."""
+
+
+class RouterUnreachableError(Exception):
+    """The router took no connection, so nothing of the request was sent."""
+
+
+class ChatMessage(msgspec.Struct, frozen=True, kw_only=True):
+    """One message of a chat completion."""
+
+    role: str
+    content: str
+
+
+class ChatCompletionRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a model request."""
+
+    model: str
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int
+    stream: bool = True
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Return a session whose connections are not reused.
+
+    A reused connection may have been closed meanwhile; whether the request was sent would then be
+    unknown, and the client would repeat a GET on its own.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+        read_bufsize=READ_BUFFER_BYTES,
+    )
+
+
+class RouterClient:
+    """Sends requests and records the times of their tokens.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Made by :func:`make_session`.
+    first_token, between_tokens : TimeRecorder
+        Take the times of model requests.
+    timeout_seconds : float
+        A request that takes longer has timed out.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        first_token: TimeRecorder,
+        between_tokens: TimeRecorder,
+        timeout_seconds: float,
+    ) -> None:
+        self._session = session
+        self._first_token = first_token
+        self._between_tokens = between_tokens
+        self._timeout_seconds = timeout_seconds
+
+    async def send(self, request: PlannedRequest, router: str, due_at: float) -> RequestResult:
+        """Send a request once.
+
+        Parameters
+        ----------
+        request : PlannedRequest
+            The request.
+        router : str
+            Base address of the router.
+        due_at : float
+            Time of the loop at which the request was due.
+
+        Returns
+        -------
+        RequestResult
+            How it ended.
+
+        Raises
+        ------
+        RouterUnreachableError
+            If nothing was sent.
+        """
+        try:
+            async with asyncio.timeout(self._timeout_seconds):
+                result = await self._exchange(request, router, due_at)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as problem:
+            raise RouterUnreachableError(router) from problem
+        except TimeoutError:
+            result = result_of(request, Outcome.TIMED_OUT, router)
+        except (aiohttp.ClientError, OSError) as problem:
+            broken = result_of(request, Outcome.BROKEN, router)
+            result = msgspec.structs.replace(broken, detail=type(problem).__name__)
+        seconds = asyncio.get_running_loop().time() - due_at
+        return msgspec.structs.replace(result, total_seconds=seconds)
+
+    async def _exchange(self, request: PlannedRequest, router: str, due_at: float) -> RequestResult:
+        headers = {"x-request-id": request.request_id, "x-tenant": request.tenant}
+        method, path, body = "POST", "/v1/chat/completions", encode_chat(request)
+        if request.kind is TrafficKind.PLAIN:
+            method, path, body = request.method, request.path, b""
+        if body:
+            headers["content-type"] = "application/json"
+        async with self._session.request(
+            method, router + path, data=body or None, headers=headers
+        ) as response:
+            if response.status != 200:
+                return await _refused(request, router, response)
+            if request.kind is TrafficKind.PLAIN:
+                content = await response.read()
+                outcome = judge_call(content, request.request_id, request.method, request.path)
+                return result_of(request, outcome, router)
+            return await self._read_stream(request, router, response, due_at)
+
+    async def _read_stream(
+        self,
+        request: PlannedRequest,
+        router: str,
+        response: aiohttp.ClientResponse,
+        due_at: float,
+    ) -> RequestResult:
+        verifier = StreamVerifier(request.request_id, request.max_tokens)
+        clock = TokenClock(self._first_token, self._between_tokens, due_at)
+        clean_end = True
+        try:
+            async for piece in response.content.iter_any():
+                chunks = verifier.feed(piece)
+                clock.on_content(chunks, is_slow_reader=request.pause_per_chunk_seconds > 0)
+                if _is_leaving(request, verifier):
+                    response.close()
+                    return result_of(request, Outcome.ABANDONED, router)
+                if request.pause_per_chunk_seconds:
+                    await asyncio.sleep(request.pause_per_chunk_seconds)
+        except (aiohttp.ClientError, OSError):
+            clean_end = False
+        result = result_of(request, verifier.judge(clean_end), router)
+        error = verifier.error
+        return msgspec.structs.replace(
+            result,
+            status=response.status,
+            first_token_seconds=clock.first_token_seconds,
+            code=error.code if error else "",
+            ran=error.ran if error else "",
+            detail=f"{verifier.content_chunks} content chunks, clean end: {clean_end}",
+        )
+
+
+class TokenClock:
+    """Takes the times at which the content of one stream arrives.
+
+    Parameters
+    ----------
+    first_token, between_tokens : TimeRecorder
+        Take the times.
+    due_at : float
+        Time of the loop at which the request was due.
+    """
+
+    def __init__(
+        self, first_token: TimeRecorder, between_tokens: TimeRecorder, due_at: float
+    ) -> None:
+        self._first_token = first_token
+        self._between_tokens = between_tokens
+        self._due_at = due_at
+        self._last_at: float | None = None
+        self.first_token_seconds: float | None = None
+
+    def on_content(self, chunks: int, is_slow_reader: bool) -> None:
+        """Record content chunks that arrived together; the pauses of a slow reader are its own."""
+        now = asyncio.get_running_loop().time()
+        for _ in range(chunks):
+            if self._last_at is None:
+                self.first_token_seconds = now - self._due_at
+                self._first_token.record(self.first_token_seconds)
+            elif not is_slow_reader:
+                self._between_tokens.record(now - self._last_at)
+            self._last_at = now
+
+
+def encode_chat(request: PlannedRequest) -> bytes:
+    """Return the body of a model request."""
+    message = ChatMessage(role="user", content=request.prompt)
+    return msgspec.json.encode(
+        ChatCompletionRequest(
+            model=request.model, messages=(message,), max_tokens=request.max_tokens
+        )
+    )
+
+
+def read_retry_after(response: aiohttp.ClientResponse) -> float | None:
+    """Return the Retry-After header in seconds, if there is one that can be read."""
+    try:
+        return max(0.0, float(response.headers["retry-after"]))
+    except (KeyError, ValueError):
+        return None
+
+
+def _is_leaving(request: PlannedRequest, verifier: StreamVerifier) -> bool:
+    leaves_after = request.disconnect_after_chunks
+    return leaves_after is not None and verifier.content_chunks >= leaves_after
+
+
+async def _refused(
+    request: PlannedRequest, router: str, response: aiohttp.ClientResponse
+) -> RequestResult:
+    error = read_error(await response.read())
+    return msgspec.structs.replace(
+        result_of(request, Outcome.REFUSED, router),
+        status=response.status,
+        code=error.code,
+        ran=error.ran,
+        retry_after_seconds=read_retry_after(response),
+        detail=error.message,
+    )
--- /dev/null
+++ b/src/orchidpath/standins/server_sent_events.py
@@ -0,0 +1,59 @@
+"""An incremental parser of server-sent events."""
+
+import msgspec
+
+
+class ServerSentEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """One event; ``name`` is empty for an ordinary message."""
+
+    name: str
+    data: str
+
+
+class EventParser:
+    """Turns pieces of a body into events; an event without its blank line is not one yet."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._name = ""
+        self._data: list[str] = []
+
+    def feed(self, piece: bytes) -> list[ServerSentEvent]:
+        """Take in a piece of the body.
+
+        Parameters
+        ----------
+        piece : bytes
+            Any cut of the body.
+
+        Returns
+        -------
+        list[ServerSentEvent]
+            The events completed by it.
+        """
+        lines = (self._rest + piece).split(b"\n")
+        self._rest = lines.pop()
+        events: list[ServerSentEvent] = []
+        for line in lines:
+            event = self._take_line(line.rstrip(b"\r").decode("utf-8", "replace"))
+            if event is not None:
+                events.append(event)
+        return events
+
+    def _take_line(self, line: str) -> ServerSentEvent | None:
+        if not line:
+            return self._finish_event()
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "event":
+            self._name = value
+        elif name == "data":
+            self._data.append(value)
+        return None
+
+    def _finish_event(self) -> ServerSentEvent | None:
+        event = ServerSentEvent(name=self._name, data="\n".join(self._data))
+        is_empty = not self._name and not self._data
+        self._name = ""
+        self._data = []
+        return None if is_empty else event
--- /dev/null
+++ b/src/orchidpath/standins/worker.py
@@ -0,0 +1,321 @@
+"""The asyncio shell of an emulated model worker: prompt reads, hand-overs and decode streams."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.standins.attempts import Phase
+from orchidpath.standins.backend_core import AttemptOrder
+from orchidpath.standins.backend_shell import BackendSettings, BackendShell
+from orchidpath.standins.faults import Fault, FaultKind
+from orchidpath.standins.frames import StreamPlan, decode_frames
+from orchidpath.standins.hand_over import CachePuller, KvTransfer
+from orchidpath.standins.http_exchange import (
+    abort_connection,
+    error_response,
+    is_closed,
+    json_response,
+    read_struct,
+)
+from orchidpath.standins.kv_cache import (
+    HandleClaim,
+    HandleTable,
+    HandleVerdict,
+    PrefixCache,
+    block_keys,
+    count_tokens,
+)
+from orchidpath.standins.polling import wait_until
+from orchidpath.standins.worker_model import (
+    SerialResource,
+    WorkerTiming,
+    decode_interval_seconds,
+    prefill_seconds,
+    transfer_bytes,
+    transfer_seconds,
+)
+from orchidpath.wire.backend import (
+    ATTEMPT_HEADER,
+    CacheHandle,
+    DecodeFrame,
+    DecodeRequest,
+    ErrorBody,
+    ErrorCode,
+    FrameKind,
+    PrefillReply,
+    PrefillRequest,
+    Ran,
+)
+from orchidpath.wire.records import Stage, WorkerRecord
+
+VERDICT_CODES = {
+    HandleVerdict.LAPSED: ErrorCode.HANDLE_LAPSED,
+    HandleVerdict.MISMATCH: ErrorCode.HANDLE_MISMATCH,
+}
+
+
+class ModelWorker(BackendShell):
+    """One emulated model worker.
+
+    Parameters
+    ----------
+    record : WorkerRecord
+        How the worker announces itself.
+    settings : BackendSettings
+        Where to listen and whom to tell.
+    timing : WorkerTiming
+        Speeds and capacities.
+    """
+
+    def __init__(
+        self, record: WorkerRecord, settings: BackendSettings, timing: WorkerTiming
+    ) -> None:
+        super().__init__(record, settings, timing.max_in_flight)
+        self._timing = timing
+        self._cache = PrefixCache(timing.cache_capacity_tokens)
+        self._handles = HandleTable(record.incarnation, timing.handle_lifetime_seconds)
+        self._processor = SerialResource()
+        self._link = SerialResource()
+        self._streams = 0
+        self._transfers = 0
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the prompt read, the decode and the hand-over."""
+        super().add_routes(app)
+        app.router.add_post("/v1/prefill", self._prefill)
+        app.router.add_post("/v1/decode", self._decode)
+        app.router.add_get("/v1/kv/{handle_id}", self._hand_over)
+
+    def handles_outstanding(self) -> int:
+        """Return how many KV caches are held for a hand-over or being handed over."""
+        return self._handles.outstanding(self.now()) + self._transfers
+
+    def on_cancelled(self, attempt_id: str) -> None:
+        """Free the KV cache held for a cancelled attempt."""
+        self._handles.release(attempt_id)
+
+    def on_stage_set(self) -> None:
+        """Forget the cache of the former stage."""
+        self._cache.clear()
+        self._handles.lapse_all()
+
+    def lapse_handles(self) -> None:
+        """Drop every handle."""
+        self._handles.lapse_all()
+
+    def streams(self) -> bool:
+        """Tell that executions are answered by a stream."""
+        return True
+
+    async def _prefill(self, request: web.Request) -> web.StreamResponse:
+        body = await read_struct(request, PrefillRequest)
+        order = AttemptOrder(
+            request_id=body.request_id,
+            attempt_id=body.attempt_id,
+            phase=Phase.PROMPT_READ,
+            stage=Stage.PREFILL,
+            model=body.model,
+        )
+        return await self.admitted(order, lambda: self._read_prompt(request, body, order))
+
+    async def _read_prompt(
+        self, request: web.Request, body: PrefillRequest, order: AttemptOrder
+    ) -> web.StreamResponse:
+        refusal = self.begin(order)
+        if refusal is not None:
+            return refusal
+        prompt_tokens = count_tokens(body.prompt)
+        cached_tokens = await self._occupy_processor(body.prompt, prompt_tokens)
+        if self.core.attempts.is_cancelled(order.attempt_id):
+            error = self.core.error(order, ErrorCode.ATTEMPT_REFUSED, "cancelled", Ran.YES)
+            return error_response(error)
+        spoilt = await self.spoil_answer(request, order)
+        if spoilt is not None:
+            return spoilt
+        handle = self._issue_handle(order, prompt_tokens)
+        sender = self.answer_identity(order)
+        reply = PrefillReply(
+            request_id=sender.request_id,
+            attempt_id=sender.attempt_id,
+            handle=handle,
+            cached_tokens=cached_tokens,
+        )
+        return json_response(reply, attempt_id=sender.attempt_id)
+
+    async def _occupy_processor(self, prompt: str, prompt_tokens: int) -> int:
+        keys = block_keys(prompt)
+        cached_tokens = self._cache.cached_tokens(keys)
+        self.core.counts.cache_hits += 1 if cached_tokens else 0
+        self.core.counts.cached_tokens += cached_tokens
+        self.core.counts.prompt_tokens += prompt_tokens
+        seconds = prefill_seconds(self._timing, prompt_tokens, cached_tokens)
+        seconds *= self.faults.factor(FaultKind.SLOW, self.now())
+        await asyncio.sleep(self._processor.reserve(self.now(), seconds))
+        self._cache.insert(keys)
+        return cached_tokens
+
+    def _issue_handle(self, order: AttemptOrder, prompt_tokens: int) -> CacheHandle:
+        record = self.core.record
+        handle_id = self._handles.issue(
+            order.request_id, order.attempt_id, prompt_tokens, self.now()
+        )
+        return CacheHandle(
+            handle_id=handle_id,
+            request_id=order.request_id,
+            attempt_id=order.attempt_id,
+            worker_id=record.worker_id,
+            incarnation=record.incarnation,
+            url=record.url,
+            prompt_tokens=prompt_tokens,
+            expires_in_seconds=self._timing.handle_lifetime_seconds,
+        )
+
+    async def _hand_over(self, request: web.Request) -> web.StreamResponse:
+        claim = HandleClaim(
+            handle_id=request.match_info["handle_id"],
+            request_id=request.query.get("request_id", ""),
+            attempt_id=request.query.get("attempt_id", ""),
+            incarnation=request.query.get("incarnation", ""),
+        )
+        peer = request.query.get("decode_worker", "")
+        if self.faults.take(FaultKind.CUT_LINK, self.now(), peer) is not None:
+            abort_connection(request)
+            return web.Response()
+        answer = self._handles.take(claim, self.now())
+        if answer.verdict is not HandleVerdict.GRANTED:
+            return self._deny(claim, answer.verdict)
+        await self._occupy_link(answer.prompt_tokens, peer)
+        self.core.counts.handles_granted += 1
+        return json_response(
+            KvTransfer(
+                request_id=claim.request_id,
+                attempt_id=claim.attempt_id,
+                handle_id=claim.handle_id,
+                prompt_tokens=answer.prompt_tokens,
+                kv_bytes=transfer_bytes(self._timing, answer.prompt_tokens),
+            )
+        )
+
+    def _deny(self, claim: HandleClaim, verdict: HandleVerdict) -> web.Response:
+        self.core.counts.handles_denied += 1
+        error = ErrorBody(
+            code=VERDICT_CODES[verdict],
+            message=f"{self.core.record.worker_id}: handle {verdict}",
+            ran=Ran.NO,
+            request_id=claim.request_id,
+            attempt_id=claim.attempt_id,
+        )
+        return error_response(error)
+
+    async def _occupy_link(self, prompt_tokens: int, peer: str) -> None:
+        seconds = transfer_seconds(self._timing, prompt_tokens)
+        seconds *= self.faults.factor(FaultKind.SLOW_LINK, self.now(), peer)
+        self._transfers += 1
+        try:
+            await asyncio.sleep(self._link.reserve(self.now(), seconds))
+        finally:
+            self._transfers -= 1
+
+    async def _decode(self, request: web.Request) -> web.StreamResponse:
+        body = await read_struct(request, DecodeRequest)
+        order = AttemptOrder(
+            request_id=body.request_id,
+            attempt_id=body.attempt_id,
+            phase=Phase.EXECUTION,
+            stage=Stage.DECODE,
+            model=body.model,
+        )
+        return await self.admitted(order, lambda: self._run_decode(request, body, order))
+
+    async def _run_decode(
+        self, request: web.Request, body: DecodeRequest, order: AttemptOrder
+    ) -> web.StreamResponse:
+        puller = CachePuller(
+            self.session,
+            self.faults,
+            self.core.record.worker_id,
+            self._timing.transfer_timeout_seconds,
+        )
+        failure = await puller.pull(body)
+        if failure is not None:
+            self.core.counts.hand_overs_failed += 1
+            return error_response(
+                self.core.refuse(order, failure.code, failure.message, self.now())
+            )
+        refusal = self.begin(order)
+        if refusal is not None:
+            return refusal
+        self._streams += 1
+        try:
+            spoilt = await self.spoil_answer(request, order)
+            return spoilt or await self._stream(request, body, order)
+        finally:
+            self._streams -= 1
+
+    async def _stream(
+        self, request: web.Request, body: DecodeRequest, order: AttemptOrder
+    ) -> web.StreamResponse:
+        sender = self.answer_identity(order)
+        plan = StreamPlan(
+            request_id=sender.request_id,
+            attempt_id=sender.attempt_id,
+            max_tokens=body.max_tokens,
+            tokens_per_frame=self._timing.tokens_per_frame,
+            lost_frame=self._lost_frame(body.max_tokens),
+            without_terminal=self.faults.take(FaultKind.MISSING_TERMINAL, self.now()) is not None,
+        )
+        response = web.StreamResponse(headers={ATTEMPT_HEADER: sender.attempt_id})
+        response.content_type = "text/event-stream"
+        try:
+            await response.prepare(request)
+            await self._send_frames(request, response, plan, order)
+        except ConnectionError:
+            self.core.counts.streams_cut += 1
+        return response
+
+    def _lost_frame(self, max_tokens: int) -> int | None:
+        fault = self.faults.take(FaultKind.SEQUENCE_GAP, self.now())
+        if fault is None:
+            return None
+        frames = -(-max_tokens // self._timing.tokens_per_frame)
+        return min(fault.after_frames, max(0, frames - 1))
+
+    async def _send_frames(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        plan: StreamPlan,
+        order: AttemptOrder,
+    ) -> None:
+        cut = self.faults.take(FaultKind.TRUNCATE, self.now())
+        stall = self.faults.take(FaultKind.STALL, self.now())
+        for sent, frame in enumerate(decode_frames(plan)):
+            if self.core.attempts.is_cancelled(order.attempt_id):
+                abort_connection(request)
+                return
+            if cut is not None and sent > cut.after_frames:
+                abort_connection(request)
+                return
+            if stall is not None and sent == stall.after_frames + 1:
+                await self._stall(request, stall)
+            await self._send_frame(response, frame)
+
+    async def _stall(self, request: web.Request, stall: Fault) -> None:
+        clearings = self.faults.clearings
+        ends_at = self.now() + stall.seconds if stall.seconds > 0 else float("inf")
+        await wait_until(
+            lambda: self.faults.clearings != clearings or is_closed(request), deadline=ends_at
+        )
+
+    async def _send_frame(self, response: web.StreamResponse, frame: DecodeFrame) -> None:
+        if frame.kind is FrameKind.CONTENT:
+            await asyncio.sleep(self._frame_interval_seconds())
+        await self.wait_while(FaultKind.GO_DARK)
+        await response.write(b"data: " + msgspec.json.encode(frame) + b"\n\n")
+        self.core.counts.frames += 1
+
+    def _frame_interval_seconds(self) -> float:
+        interval = decode_interval_seconds(self._timing, self._streams)
+        factor = self.faults.factor(FaultKind.SLOW, self.now())
+        return interval * self._timing.tokens_per_frame * factor
--- /dev/null
+++ b/tests/standins/test_backend_core.py
@@ -0,0 +1,114 @@
+"""Admission and orders of an emulated back end."""
+
+import pytest
+from standin_harness import make_record
+
+from orchidpath.standins.attempts import Phase
+from orchidpath.standins.backend_core import AttemptOrder, BackendCore
+from orchidpath.wire.backend import ErrorCode, OrderKind, Ran, WorkerOrder
+from orchidpath.wire.records import Stage, WorkerStatus
+
+
+def make_core(max_in_flight: int = 2) -> BackendCore:
+    return BackendCore(make_record("w1", Stage.DECODE), max_in_flight)
+
+
+def attempt(attempt_id: str, stage: Stage = Stage.DECODE, model: str = "wine") -> AttemptOrder:
+    return AttemptOrder(
+        request_id="r", attempt_id=attempt_id, phase=Phase.EXECUTION, stage=stage, model=model
+    )
+
+
+def order(
+    term: int,
+    sequence: int,
+    kind: OrderKind = OrderKind.DRAIN,
+    stage: Stage | None = None,
+    incarnation: str = "i1",
+    worker_id: str = "w1",
+) -> WorkerOrder:
+    return WorkerOrder(
+        term=term,
+        sequence=sequence,
+        worker_id=worker_id,
+        incarnation=incarnation,
+        kind=kind,
+        stage=stage,
+    )
+
+
+@pytest.mark.parametrize(
+    ("asked", "code"),
+    [
+        (attempt("a", stage=Stage.PREFILL), ErrorCode.WRONG_STAGE),
+        (attempt("a", model="riddle"), ErrorCode.WRONG_MODEL),
+    ],
+)
+def test_a_refused_attempt_is_refused_for_ever(asked: AttemptOrder, code: ErrorCode) -> None:
+    core = make_core()
+    refusal = core.admit(asked, 0.0)
+    assert refusal is not None
+    assert (refusal.code, refusal.ran) == (code, Ran.NO)
+    again = core.admit(attempt("a"), 0.0)
+    assert again is not None
+    assert (again.code, again.ran) == (ErrorCode.ATTEMPT_REFUSED, Ran.NO)
+    assert core.limit.current == 0
+
+
+def test_overload_is_refused_without_retry_after() -> None:
+    core = make_core(max_in_flight=1)
+    assert core.admit(attempt("a"), 0.0) is None
+    refusal = core.admit(attempt("b"), 0.0)
+    assert refusal is not None
+    assert (refusal.code, refusal.ran) == (ErrorCode.OVERLOADED, Ran.NO)
+    assert refusal.retry_after_seconds is None
+    core.leave(attempt("a"), 0.0)
+    assert core.admit(attempt("c"), 0.0) is None
+
+
+def test_a_cancelled_attempt_does_not_start() -> None:
+    core = make_core()
+    assert core.admit(attempt("a"), 0.0) is None
+    assert core.cancel("a", 0.0).ran is Ran.NO
+    assert not core.start(attempt("a"), 0.0)
+
+
+def test_orders_at_or_below_the_fence_are_refused() -> None:
+    core = make_core()
+    assert core.obey(order(2, 5), 0).accepted
+    assert core.draining
+    for term, sequence in [(2, 5), (2, 4), (1, 9)]:
+        reply = core.obey(order(term, sequence, OrderKind.RESUME), 0)
+        assert (reply.accepted, reply.reason) == (False, "stale_order")
+        assert (reply.highest_term, reply.highest_sequence) == (2, 5)
+    assert core.record.status is WorkerStatus.DRAINING
+    assert core.obey(order(3, 1, OrderKind.RESUME), 0).accepted
+    assert not core.draining
+
+
+def test_orders_to_another_are_refused_and_do_not_move_the_fence() -> None:
+    core = make_core()
+    assert not core.obey(order(9, 9, incarnation="i0"), 0).accepted
+    assert not core.obey(order(9, 9, worker_id="w2"), 0).accepted
+    assert core.obey(order(1, 1), 0).accepted
+
+
+def test_the_stage_changes_only_when_idle() -> None:
+    core = make_core()
+    assert core.admit(attempt("a"), 0.0) is None
+    busy = core.obey(order(1, 1, OrderKind.SET_STAGE, Stage.PREFILL), 0)
+    assert (busy.accepted, busy.reason) == (False, "not idle")
+    core.leave(attempt("a"), 0.0)
+    assert not core.obey(order(1, 2, OrderKind.SET_STAGE, Stage.PREFILL), 1).accepted
+    assert not core.obey(order(1, 3, OrderKind.SET_STAGE, Stage.PLAIN), 0).accepted
+    assert core.obey(order(1, 4, OrderKind.SET_STAGE, Stage.PREFILL), 0).accepted
+    assert core.record.stage is Stage.PREFILL
+
+
+def test_no_order_resumes_a_process_that_is_ending() -> None:
+    core = make_core()
+    core.terminate()
+    core.obey(order(1, 1, OrderKind.RESUME), 0)
+    refusal = core.admit(attempt("a"), 0.0)
+    assert refusal is not None
+    assert (refusal.code, refusal.ran) == (ErrorCode.DRAINING, Ran.NO)
--- /dev/null
+++ b/tests/standins/test_caller.py
@@ -0,0 +1,214 @@
+"""Callers against a small router that answers as each test says."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from orchidpath.standins.answers import answer_tokens, expected_call_body
+from orchidpath.standins.caller import Callers, CallerSettings
+from orchidpath.standins.caller_report import CallerProgress, CallerSummary
+from orchidpath.standins.return_policy import ReturnPolicy
+from orchidpath.standins.router_client import ChatCompletionRequest
+from orchidpath.standins.traffic_mix import (
+    CrowdBurst,
+    TokenDistribution,
+    TrafficKind,
+    TrafficMix,
+    TrafficStream,
+)
+
+Chat = Callable[[web.Request, web.StreamResponse, str, int], Awaitable[None]]
+FEW = TokenDistribution(median=6, minimum=2, maximum=10)
+MODEL_STREAM = TrafficStream(
+    name="wine", kind=TrafficKind.MODEL, rate_per_second=0.0, model="wine", max_tokens=FEW
+)
+PLAIN_STREAM = TrafficStream(
+    name="stock", kind=TrafficKind.PLAIN, rate_per_second=0.0, path="/stock/{}"
+)
+REQUESTS = 5
+
+
+async def send_content(response: web.StreamResponse, text: str) -> None:
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    await response.write(b"data: " + msgspec.json.encode({"choices": [choice]}) + b"\n\n")
+
+
+async def send_end(response: web.StreamResponse) -> None:
+    choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
+    await response.write(b"data: " + msgspec.json.encode({"choices": [choice]}) + b"\n\n")
+    await response.write(b"data: [DONE]\n\n")
+
+
+class FakeRouter:
+    """Answers chats by a function and plain calls by the right answer, after some refusals."""
+
+    def __init__(self, chat: Chat, ready: bool = True) -> None:
+        self.chat = chat
+        self.ready = ready
+        self.refusals: list[web.Response] = []
+        self.request_ids: list[str] = []
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        if request.path == "/health/ready":
+            return web.Response(status=200 if self.ready else 503)
+        request_id = request.headers["x-request-id"]
+        self.request_ids.append(request_id)
+        if self.refusals:
+            return self.refusals.pop()
+        if request.method == "GET":
+            return web.Response(body=expected_call_body(request_id, "GET", request.path))
+        order = msgspec.json.decode(await request.read(), type=ChatCompletionRequest)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await self.chat(request, response, request_id, order.max_tokens)
+        return response
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[str]:
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.handle)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        try:
+            yield f"http://127.0.0.1:{runner.addresses[0][1]}"
+        finally:
+            await runner.cleanup()
+
+
+async def whole(
+    request: web.Request, response: web.StreamResponse, request_id: str, count: int
+) -> None:
+    for token in answer_tokens(request_id, count):
+        await send_content(response, token)
+    await send_end(response)
+
+
+async def crossed(
+    request: web.Request, response: web.StreamResponse, request_id: str, count: int
+) -> None:
+    await whole(request, response, f"{request_id}-other", count)
+
+
+async def cut_but_clean(
+    request: web.Request, response: web.StreamResponse, request_id: str, count: int
+) -> None:
+    for token in answer_tokens(request_id, count - 1):
+        await send_content(response, token)
+    await send_end(response)
+
+
+async def cut_visibly(
+    request: web.Request, response: web.StreamResponse, request_id: str, count: int
+) -> None:
+    for token in answer_tokens(request_id, count - 1):
+        await send_content(response, token)
+    assert request.transport is not None
+    request.transport.abort()
+
+
+async def error_event(
+    request: web.Request, response: web.StreamResponse, request_id: str, count: int
+) -> None:
+    await send_content(response, next(answer_tokens(request_id, count)))
+    await response.write(
+        b'event: error\ndata: {"error": {"code": "stream_broken", "ran": "yes"}}\n\n'
+    )
+
+
+def refusal(ran: str, retry_after: str) -> web.Response:
+    body = {"error": {"code": "overloaded", "message": "", "ran": ran}}
+    headers = {"retry-after": retry_after}
+    return web.Response(status=503, body=msgspec.json.encode(body), headers=headers)
+
+
+async def call_routers(
+    routers: list[str], stream: TrafficStream = MODEL_STREAM, disconnect_share: float = 0.0
+) -> CallerSummary:
+    burst = CrowdBurst(stream=stream.name, at_seconds=0.0, requests=REQUESTS, over_seconds=0.0)
+    mix = TrafficMix(streams=[stream], bursts=[burst], disconnect_share=disconnect_share)
+    settings = CallerSettings(
+        routers=tuple(routers),
+        mix=mix,
+        for_seconds=0.3,
+        run_id="run",
+        timeout_seconds=5.0,
+        drain_seconds=5.0,
+        returns=ReturnPolicy(max_returns=1),
+    )
+    progress: list[CallerProgress] = []
+    return await Callers(settings, progress.append).run()
+
+
+async def outcome_of(chat: Chat) -> CallerSummary:
+    async with FakeRouter(chat).running() as url:
+        return await call_routers([url])
+
+
+async def test_whole_answers_are_answered_and_timed() -> None:
+    summary = await outcome_of(whole)
+    assert summary.outcomes.answered == summary.due == REQUESTS
+    assert summary.violations == 0
+    assert summary.first_token.count == REQUESTS
+    assert summary.between_tokens.count >= REQUESTS
+
+
+async def test_the_answer_of_another_request_is_flagged() -> None:
+    summary = await outcome_of(crossed)
+    assert summary.outcomes.wrong_content == summary.violations == REQUESTS
+    assert len(summary.examples) == REQUESTS
+
+
+async def test_a_cut_answer_that_looks_complete_is_flagged() -> None:
+    summary = await outcome_of(cut_but_clean)
+    assert summary.outcomes.incomplete_but_clean == summary.violations == REQUESTS
+
+
+async def test_visible_breaks_are_no_violation() -> None:
+    for chat in (cut_visibly, error_event):
+        summary = await outcome_of(chat)
+        assert summary.outcomes.broken == REQUESTS
+        assert summary.violations == 0
+
+
+async def test_a_refused_caller_comes_back_under_the_same_request_id() -> None:
+    router = FakeRouter(whole)
+    router.refusals = [refusal("no", "0")]
+    async with router.running() as url:
+        summary = await call_routers([url])
+    assert (summary.outcomes.answered, summary.returns) == (REQUESTS, 1)
+    assert len(router.request_ids) == REQUESTS + 1
+    assert len(set(router.request_ids)) == REQUESTS
+
+
+async def test_a_call_that_may_have_run_is_not_sent_again() -> None:
+    router = FakeRouter(whole)
+    router.refusals = [refusal("unknown", "0")]
+    async with router.running() as url:
+        summary = await call_routers([url])
+    assert (summary.outcomes.refused, summary.returns) == (1, 0)
+    assert len(router.request_ids) == REQUESTS
+    assert [code.count for code in summary.codes if code.code == "overloaded"] == [1]
+
+
+async def test_unready_and_dead_routers_are_passed_over() -> None:
+    ready, unready = FakeRouter(whole), FakeRouter(whole, ready=False)
+    async with ready.running() as url, unready.running() as unready_url:
+        summary = await call_routers([unready_url, "http://127.0.0.1:1", url])
+    assert summary.outcomes.answered == REQUESTS
+    assert (len(ready.request_ids), len(unready.request_ids)) == (REQUESTS, 0)
+
+
+async def test_no_router_at_all() -> None:
+    summary = await call_routers(["http://127.0.0.1:1"])
+    assert summary.outcomes.unreachable == REQUESTS
+
+
+async def test_plain_calls_and_callers_that_go_away() -> None:
+    async with FakeRouter(whole).running() as url:
+        plain = await call_routers([url], PLAIN_STREAM)
+        assert plain.outcomes.answered == plain.plain_call.count == REQUESTS
+        leaving = await call_routers([url], disconnect_share=1.0)
+        assert leaving.outcomes.abandoned == REQUESTS
