--- /dev/null
+++ b/src/orchidpath/cli/check.py
@@ -0,0 +1,114 @@
+"""``orchidpath check``: checks files of any kind and prints every problem at once."""
+
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import click
+
+from orchidpath.common.daemon import ExitCode
+from orchidpath.common.settings import ControlSettings, RouterSettings
+from orchidpath.common.settings_errors import SettingProblem, SettingsError
+from orchidpath.common.settings_file import convert_settings, read_table
+
+
+class FileKind(StrEnum):
+    """Kinds of files that operators write."""
+
+    ROUTER = "router"
+    CONTROL = "control"
+    FLEET = "fleet"
+    CONFIGURATION = "configuration"
+
+
+_DISTINGUISHING_KEYS = (
+    (FileKind.FLEET, frozenset({"machines", "workers", "traffic"})),
+    (FileKind.CONFIGURATION, frozenset({"services", "routes"})),
+    (FileKind.CONTROL, frozenset({"data_folder", "formation_members", "target_voters"})),
+    (FileKind.ROUTER, frozenset({"node_id", "wire_address", "http_address", "seeds"})),
+)
+"""Top-level keys that tell the kinds apart, in the order in which they are looked for."""
+
+
+def recognise(table: dict[str, Any]) -> FileKind | None:
+    """Return the kind of a decoded file by its top-level keys."""
+    for kind, keys in _DISTINGUISHING_KEYS:
+        if keys & table.keys():
+            return kind
+    return None
+
+
+def check_file(path: Path, kind: FileKind | None) -> FileKind:
+    """Check one file.
+
+    Parameters
+    ----------
+    path
+        File to check.
+    kind
+        Its kind; None recognises it by its content.
+
+    Returns
+    -------
+    FileKind
+        The kind of the file, which is valid.
+
+    Raises
+    ------
+    SettingsError
+        Holds every problem of the file.
+    """
+    table = read_table(path)
+    kind = kind or recognise(table)
+    file = str(path)
+    match kind:
+        case FileKind.ROUTER:
+            convert_settings(table, file, RouterSettings)
+        case FileKind.CONTROL:
+            convert_settings(table, file, ControlSettings)
+        case FileKind.CONFIGURATION:
+            _check_configuration(table, file)
+        case FileKind.FLEET:
+            _check_fleet(table, file)
+        case None:
+            message = f"kind not recognised; say it with --kind {'|'.join(FileKind)}"
+            raise SettingsError([SettingProblem(file=file, path="", message=message)])
+    return kind
+
+
+def _check_configuration(table: dict[str, Any], file: str) -> None:
+    from orchidpath.cli.configuration_file import convert_configuration
+
+    convert_configuration(table, file)
+
+
+def _check_fleet(table: dict[str, Any], file: str) -> None:
+    from orchidpath.fleet.file import convert_fleet
+
+    convert_fleet(table, file)
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option(
+    "--kind",
+    "kind_name",
+    type=click.Choice([kind.value for kind in FileKind]),
+    help="Kind of all the files; recognised by their content without it.",
+)
+@click.pass_context
+def check(ctx: click.Context, files: tuple[Path, ...], kind_name: str | None) -> None:
+    """Check settings files, fleet files and configurations; print every problem at once."""
+    kind = FileKind(kind_name) if kind_name else None
+    problems: list[SettingProblem] = []
+    for path in files:
+        try:
+            found = check_file(path, kind)
+        except SettingsError as error:
+            problems += error.problems
+        else:
+            click.echo(f"{path}: valid {found} file")
+    for problem in problems:
+        click.echo(str(problem), err=True)
+    if problems:
+        ctx.exit(ExitCode.INVALID_INPUT)
--- /dev/null
+++ b/src/orchidpath/cli/configuration_file.py
@@ -0,0 +1,36 @@
+"""Reads configurations from TOML or JSON files."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from orchidpath.common.settings_errors import SettingProblem, SettingsError
+from orchidpath.common.settings_file import read_table
+from orchidpath.state.problems import InvalidConfigurationError
+from orchidpath.state.validation import parse_configuration
+from orchidpath.wire.configuration import Configuration
+
+
+def load_configuration(path: Path) -> Configuration:
+    """Load and check a configuration file.
+
+    Raises
+    ------
+    SettingsError
+        Holds every problem.
+    """
+    return convert_configuration(read_table(path), str(path))
+
+
+def convert_configuration(table: dict[str, Any], file: str) -> Configuration:
+    """Convert and check a decoded configuration; see :func:`load_configuration`."""
+    try:
+        return parse_configuration(msgspec.json.encode(table))
+    except InvalidConfigurationError as error:
+        raise SettingsError(
+            [
+                SettingProblem(file=file, path=problem.path, message=problem.message)
+                for problem in error.problems
+            ]
+        ) from error
--- /dev/null
+++ b/src/orchidpath/cli/control.py
@@ -0,0 +1,33 @@
+"""``orchidpath control``: runs one control process."""
+
+from pathlib import Path
+
+import click
+
+from orchidpath.common.daemon import run_daemon
+from orchidpath.common.logs import configure_logs
+from orchidpath.common.settings import ControlSettings
+from orchidpath.common.settings_file import load_settings
+
+
+@click.command()
+@click.option(
+    "-c",
+    "--config",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="Settings file, TOML or JSON.",
+)
+@click.pass_context
+def control(ctx: click.Context, settings_file: Path) -> None:
+    """Run one control process; it keeps its state in its data folder.
+
+    SIGTERM stops it gracefully, a second one at once; SIGHUP reads the settings file again.
+    """
+    settings = load_settings(settings_file, ControlSettings)
+    configure_logs(settings.log_level, node_id=settings.node_id, role="control")
+    from orchidpath.control.process import ControlProcess
+
+    process = ControlProcess(settings)
+    ctx.exit(run_daemon(process, lambda: load_settings(settings_file, ControlSettings)))
--- /dev/null
+++ b/src/orchidpath/cli/main.py
@@ -0,0 +1,65 @@
+"""The ``orchidpath`` command; each command's module is imported only when it is used."""
+
+import importlib
+import importlib.util
+import sys
+
+import click
+
+from orchidpath import __version__
+from orchidpath.common.daemon import ExitCode
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.common.settings_errors import SettingsError
+
+_COMMANDS = {
+    "check": "orchidpath.cli.check",
+    "config": "orchidpath.cli.config",
+    "control": "orchidpath.cli.control",
+    "fleet": "orchidpath.cli.fleet",
+    "router": "orchidpath.cli.router",
+    "simulate": "orchidpath.cli.simulate",
+    "standin": "orchidpath.cli.standin",
+    "status": "orchidpath.cli.status",
+}
+"""Module of each command; the command has the same name inside it."""
+
+
+class LazyGroup(click.Group):
+    """Imports a command's module on use and turns expected errors into lines on stderr."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of the commands that this installation has."""
+        return [name for name, module in _COMMANDS.items() if importlib.util.find_spec(module)]
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import and return one command."""
+        if cmd_name not in self.list_commands(ctx):
+            return None
+        module = importlib.import_module(_COMMANDS[cmd_name])
+        command = getattr(module, cmd_name)
+        assert isinstance(command, click.Command)
+        return command
+
+    def invoke(self, ctx: click.Context) -> object:
+        """Run a command; an expected error ends it with its exit code and no traceback."""
+        try:
+            return super().invoke(ctx)
+        except SettingsError as error:
+            for problem in error.problems:
+                click.echo(str(problem), err=True)
+            ctx.exit(ExitCode.INVALID_INPUT)
+        except (OrchidpathError, OSError) as error:
+            click.echo(f"error: {error}", err=True)
+            ctx.exit(ExitCode.FAILED)
+
+
+@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="orchidpath")
+def orchidpath() -> None:
+    """Router fleet for model workers that split prefill and decode."""
+
+
+def main() -> None:
+    """Run the command line and exit."""
+    orchidpath(prog_name="orchidpath")
+    sys.exit(ExitCode.OK)
--- /dev/null
+++ b/src/orchidpath/cli/operator_client.py
@@ -0,0 +1,44 @@
+"""What the operators' commands share: where control is, and running one exchange with it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import click
+import msgspec
+
+from orchidpath.control.operator_client import OperatorClient
+
+ResultT = TypeVar("ResultT")
+FunctionT = TypeVar("FunctionT", bound=Callable[..., Any])
+
+
+def control_option(function: FunctionT) -> FunctionT:
+    """Add the ``--control`` option to a command."""
+    option = click.option(
+        "--control",
+        "control_addresses",
+        multiple=True,
+        required=True,
+        envvar="ORCHIDPATH_CONTROL",
+        metavar="URL",
+        help="HTTP address of a control process; repeat it to name several, tried in turn.",
+    )
+    return option(function)
+
+
+def run_with_client(
+    control_addresses: tuple[str, ...], use: Callable[[OperatorClient], Awaitable[ResultT]]
+) -> ResultT:
+    """Run one exchange with the control tier and return its result."""
+
+    async def run() -> ResultT:
+        async with OperatorClient(control_addresses) as client:
+            return await use(client)
+
+    return asyncio.run(run())
+
+
+def echo_json(value: object) -> None:
+    """Print a typed value as indented JSON."""
+    click.echo(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
--- /dev/null
+++ b/src/orchidpath/cli/router.py
@@ -0,0 +1,33 @@
+"""``orchidpath router``: runs one router process."""
+
+from pathlib import Path
+
+import click
+
+from orchidpath.common.daemon import run_daemon
+from orchidpath.common.logs import configure_logs
+from orchidpath.common.settings import RouterSettings
+from orchidpath.common.settings_file import load_settings
+
+
+@click.command()
+@click.option(
+    "-c",
+    "--config",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="Settings file, TOML or JSON.",
+)
+@click.pass_context
+def router(ctx: click.Context, settings_file: Path) -> None:
+    """Run one router process; it needs no disk.
+
+    SIGTERM stops it gracefully, a second one at once; SIGHUP reads the settings file again.
+    """
+    settings = load_settings(settings_file, RouterSettings)
+    configure_logs(settings.log_level, node_id=settings.node_id, role="router")
+    from orchidpath.router.process import RouterProcess
+
+    process = RouterProcess(settings)
+    ctx.exit(run_daemon(process, lambda: load_settings(settings_file, RouterSettings)))
--- /dev/null
+++ b/src/orchidpath/fleet/executions.py
@@ -0,0 +1,81 @@
+"""Finds calls that ran more often than their route allows, from the back ends' own records."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
+
+import msgspec
+
+from orchidpath.standins.attempts import Phase
+from orchidpath.standins.caller_report import RequestResult
+from orchidpath.standins.reports import ExecutionRecord
+from orchidpath.standins.verification import Outcome
+from orchidpath.wire.backend import Ran
+from orchidpath.wire.configuration import Configuration
+
+StructT = TypeVar("StructT", bound=msgspec.Struct)
+
+
+class ExecutionKey(msgspec.Struct, frozen=True):
+    """What must happen at most once: one phase of one request."""
+
+    request_id: str
+    phase: Phase
+
+
+class ExecutionPolicy:
+    """Says of each service which phases of a request must happen at most once.
+
+    Parameters
+    ----------
+    configuration
+        The services and routes.
+    service_by_worker
+        Service of each worker by its name.
+    """
+
+    def __init__(self, configuration: Configuration, service_by_worker: dict[str, str]) -> None:
+        self._service_by_worker = service_by_worker
+        self._repeatable = {route.service for route in configuration.routes if route.repeatable}
+        self._prompt_read_repeatable = self._repeatable | {
+            route.service for route in configuration.routes if route.repeat_prompt_read
+        }
+
+    def must_be_once(self, record: ExecutionRecord) -> bool:
+        """Tell whether this start must be the only one of its phase and request."""
+        service = self._service_by_worker.get(record.worker_id, "")
+        if record.phase is Phase.PROMPT_READ:
+            return service not in self._prompt_read_repeatable
+        return service not in self._repeatable
+
+
+def repeated_executions(
+    records: Iterable[ExecutionRecord], policy: ExecutionPolicy
+) -> list[ExecutionKey]:
+    """Return every phase of a request that started more than once although it must not."""
+    starts: Counter[ExecutionKey] = Counter()
+    for record in records:
+        if policy.must_be_once(record):
+            starts[ExecutionKey(record.request_id, record.phase)] += 1
+    return [key for key, count in starts.items() if count > 1]
+
+
+def refused_but_ran(
+    records: Iterable[ExecutionRecord],
+    results: Sequence[RequestResult],
+    policy: ExecutionPolicy,
+) -> list[str]:
+    """Return the requests whose last answer promised "not run" and that ran all the same."""
+    promised = {
+        result.request_id
+        for result in results
+        if result.outcome is Outcome.REFUSED and result.ran == Ran.NO
+    }
+    ran = {record.request_id for record in records if policy.must_be_once(record)}
+    return sorted(promised & ran)
+
+
+def decode_lines(content: bytes, expected: type[StructT]) -> list[StructT]:
+    """Decode JSON lines; a torn last line, as a killed process leaves it, is dropped."""
+    lines = content.split(b"\n")
+    return [msgspec.json.decode(line, type=expected) for line in lines[:-1] if line]
--- /dev/null
+++ b/src/orchidpath/fleet/faults.py
@@ -0,0 +1,90 @@
+"""The fault script as a timeline of single actions, and the table of cut links."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from orchidpath.fleet.file import ScriptedFault, ScriptedFaultKind
+from orchidpath.wire.faults import ANY_NODE, LinkFault, LinkFaultFile
+
+_ENDED_BY = {
+    ScriptedFaultKind.KILL: ScriptedFaultKind.START,
+    ScriptedFaultKind.STOP: ScriptedFaultKind.START,
+    ScriptedFaultKind.FREEZE: ScriptedFaultKind.WAKE,
+    ScriptedFaultKind.CUT: ScriptedFaultKind.HEAL,
+}
+"""What ends a fault that lasts for a time."""
+
+
+class TimedAction(msgspec.Struct, frozen=True, kw_only=True):
+    """One action at one time; ``number`` is the step of the script that it belongs to."""
+
+    at_seconds: float
+    number: int
+    kind: ScriptedFaultKind
+    fault: ScriptedFault
+
+
+def timeline(faults: Sequence[ScriptedFault]) -> list[TimedAction]:
+    """Expand a fault script into single actions in the order of their times.
+
+    A fault with ``for_seconds`` gives two actions: its begin and its end.
+    """
+    actions: list[TimedAction] = []
+    for number, fault in enumerate(faults):
+        actions.append(
+            TimedAction(at_seconds=fault.at_seconds, number=number, kind=fault.kind, fault=fault)
+        )
+        end = _ENDED_BY.get(fault.kind)
+        if end is not None and fault.for_seconds > 0:
+            end_seconds = fault.at_seconds + fault.for_seconds
+            actions.append(
+                TimedAction(at_seconds=end_seconds, number=number, kind=end, fault=fault)
+            )
+    return sorted(actions, key=lambda action: action.at_seconds)
+
+
+class CutTable:
+    """The links that are cut now."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._cuts: dict[int, list[LinkFault]] = {}
+
+    def cut(
+        self, number: int, sources: Sequence[str], destinations: Sequence[str], *, one_way: bool
+    ) -> None:
+        """Cut every link from the sources to the destinations; no destination means all.
+
+        Parameters
+        ----------
+        number
+            Step of the script; :meth:`heal` takes the same one.
+        sources, destinations
+            Names of processes.
+        one_way
+            Whether messages in the other direction still pass.
+        """
+        self._cuts[number] = [
+            LinkFault(source=source, destination=destination, both_ways=not one_way, cut=True)
+            for source in sources
+            for destination in (destinations or (ANY_NODE,))
+        ]
+
+    def heal(self, number: int) -> None:
+        """End the cut of one step."""
+        self._cuts.pop(number, None)
+
+    def heal_nodes(self, names: Sequence[str]) -> None:
+        """End every cut that has one of the names as its source."""
+        for number, cuts in tuple(self._cuts.items()):
+            kept = [cut for cut in cuts if cut.source not in names]
+            if kept:
+                self._cuts[number] = kept
+            else:
+                del self._cuts[number]
+
+    def as_file(self) -> LinkFaultFile:
+        """Return the content of the fault file."""
+        links = [link for cuts in self._cuts.values() for link in cuts]
+        return LinkFaultFile(seed=self._seed, links=links)
--- /dev/null
+++ b/src/orchidpath/fleet/runner.py
@@ -0,0 +1,252 @@
+"""Runs a whole fleet on loopback: start, traffic, faults, stop, verdict."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.control.operator_client import OperatorClient
+from orchidpath.fleet.executions import (
+    ExecutionPolicy,
+    decode_lines,
+    refused_but_ran,
+    repeated_executions,
+)
+from orchidpath.fleet.fault_runner import FaultRunner
+from orchidpath.fleet.faults import timeline
+from orchidpath.fleet.file import FleetFile
+from orchidpath.fleet.layout import FleetLayout, ProcessKind, make_layout, ports_needed
+from orchidpath.fleet.ports import choose_ports
+from orchidpath.fleet.processes import ChildProcess, stop_all
+from orchidpath.fleet.startup import bring_into_service
+from orchidpath.fleet.summary import FleetSummary, RunEvidence, summarise
+from orchidpath.fleet.watch import ControlWatch
+from orchidpath.standins.caller_report import CallerProgress, CallerSummary, RequestResult
+from orchidpath.standins.reports import ExecutionRecord
+
+UNBOUNDED_SECONDS = 10_000_000.0
+"""Time of the traffic when the run ends by Ctrl-C."""
+
+CALLER_DRAIN_SECONDS = 30.0
+"""Longest wait for outstanding requests at the end."""
+
+STOP_SECONDS = 15.0
+"""Bound on the polite end of each process; more than any process's own drain time."""
+
+CONTROL_READ_TIMEOUT_SECONDS = 5.0
+
+
+class CallersFailedError(OrchidpathError):
+    """The callers ended without a summary."""
+
+
+class FleetRunner:
+    """One run of a fleet.
+
+    Parameters
+    ----------
+    fleet
+        A checked fleet file.
+    folder
+        Everything of this run is written here.
+    for_seconds
+        Time of the traffic; None for until :meth:`stop`.
+    report
+        Takes the lines that tell how the run goes.
+    random
+        Chooses the ports.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetFile,
+        folder: Path,
+        for_seconds: float | None,
+        report: Callable[[str], None],
+        random: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._for_seconds = for_seconds or UNBOUNDED_SECONDS
+        self._report = report
+        self._layout = make_layout(fleet, folder, choose_ports(ports_needed(fleet), random))
+        self._children = {
+            plan.name: ChildProcess(plan.name, plan.arguments, self._log_path(plan.name))
+            for plan in self._layout.processes
+        }
+        self._callers = ChildProcess(
+            "callers", self._caller_arguments(), self._log_path("callers"), pipe_output=True
+        )
+        self._stop_requested = asyncio.Event()
+
+    def stop(self) -> None:
+        """End the traffic and then the run; a second call does not wait for requests."""
+        if self._stop_requested.is_set():
+            self._callers.signal(signal.SIGKILL)
+        self._stop_requested.set()
+
+    async def run(self) -> FleetSummary:
+        """Run the fleet to its end; whatever happens, every process is ended.
+
+        Raises
+        ------
+        FleetStartError
+            The fleet did not come into service.
+        CallersFailedError
+            The callers ended without a summary.
+        """
+        _write_files(self._fleet, self._layout)
+        addresses = [plan.http_address for plan in self._layout.of_kind(ProcessKind.CONTROL)]
+        try:
+            async with OperatorClient(addresses, CONTROL_READ_TIMEOUT_SECONDS) as client:
+                return await self._run_with(client)
+        finally:
+            await self._stop_everything()
+
+    async def _run_with(self, client: OperatorClient) -> FleetSummary:
+        for child in self._children.values():
+            await child.start()
+        await self._until_stopped(bring_into_service(self._fleet, self._layout, client))
+        self._say_where()
+        watch = ControlWatch(client)
+        helpers = [asyncio.create_task(watch.run()), asyncio.create_task(self._run_faults(watch))]
+        try:
+            callers = await self._run_callers(watch)
+        finally:
+            await _cancel(helpers)
+        await watch.refresh()
+        unexpected = [child.name for child in self._children.values() if child.ended_by_itself]
+        await self._stop_everything()
+        return self._judge(callers, watch, unexpected)
+
+    async def _until_stopped(self, start: Coroutine[Any, Any, None]) -> None:
+        starting = asyncio.create_task(start)
+        stopped = asyncio.create_task(self._stop_requested.wait())
+        try:
+            await asyncio.wait({starting, stopped}, return_when=asyncio.FIRST_COMPLETED)
+            if not starting.done():
+                raise CallersFailedError("stopped before any traffic was sent")
+            starting.result()
+        finally:
+            await _cancel([starting, stopped])
+
+    async def _run_callers(self, watch: ControlWatch) -> CallerSummary:
+        await self._callers.start()
+        stopper = asyncio.create_task(self._stop_callers_when_told())
+        try:
+            while line := await self._callers.read_line():
+                report = _decode_report(line)
+                if isinstance(report, CallerSummary):
+                    await self._callers.wait(STOP_SECONDS)
+                    return report
+                if report is not None:
+                    self._report(_live_line(report, watch))
+        finally:
+            await _cancel([stopper])
+        raise CallersFailedError("the callers ended without a summary")
+
+    async def _stop_callers_when_told(self) -> None:
+        await self._stop_requested.wait()
+        self._callers.signal(signal.SIGTERM)
+
+    async def _run_faults(self, watch: ControlWatch) -> None:
+        runner = FaultRunner(
+            self._layout, self._children, lambda: watch.leader_name, self._fleet.seed
+        )
+        await runner.run(timeline(self._fleet.faults), self._report)
+
+    async def _stop_everything(self) -> None:
+        # Callers first, control last: each stops while those that it needs still answer.
+        await self._callers.stop(STOP_SECONDS)
+        for kind in (ProcessKind.ROUTER, ProcessKind.WORKER, ProcessKind.CONTROL):
+            plans = self._layout.of_kind(kind)
+            await stop_all([self._children[plan.name] for plan in plans], STOP_SECONDS)
+
+    def _judge(
+        self, callers: CallerSummary, watch: ControlWatch, unexpected: list[str]
+    ) -> FleetSummary:
+        records = _read_executions(self._layout)
+        results = decode_lines(_read(self._layout.history_file), RequestResult)
+        services = {worker.name: worker.service for worker in self._fleet.workers}
+        policy = ExecutionPolicy(self._fleet.configuration, services)
+        evidence = RunEvidence(
+            fleet=self._fleet.fleet,
+            callers=callers,
+            results=results,
+            executions=len(records),
+            repeated=repeated_executions(records, policy),
+            refused_but_ran=refused_but_ran(records, results, policy),
+            leader=watch.leader_name,
+            configuration_version=watch.configuration_version,
+            unexpected_exits=unexpected,
+            log_folder=str(self._layout.log_folder),
+        )
+        return summarise(evidence)
+
+    def _say_where(self) -> None:
+        for kind, who in ((ProcessKind.ROUTER, "callers"), (ProcessKind.CONTROL, "operators")):
+            for plan in self._layout.of_kind(kind):
+                self._report(f"{who}: http://{plan.http_address} ({plan.name})")
+
+    def _log_path(self, name: str) -> Path:
+        return self._layout.log_folder / f"{name}.log"
+
+    def _caller_arguments(self) -> list[str]:
+        arguments = ["standin", "caller", "--json", "--mix", str(self._layout.mix_file)]
+        arguments += ["--for", str(self._for_seconds), "--seed", str(self._fleet.seed)]
+        arguments += ["--drain-seconds", str(CALLER_DRAIN_SECONDS)]
+        arguments += ["--history", str(self._layout.history_file)]
+        for plan in self._layout.of_kind(ProcessKind.ROUTER):
+            arguments += ["--router", f"http://{plan.http_address}"]
+        return arguments
+
+
+async def _cancel(tasks: Sequence[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        with suppress(asyncio.CancelledError):
+            await task
+
+
+def _decode_report(line: bytes) -> CallerProgress | CallerSummary | None:
+    with suppress(msgspec.DecodeError):
+        return msgspec.json.decode(line, type=CallerProgress | CallerSummary)
+    return None
+
+
+def _live_line(progress: CallerProgress, watch: ControlWatch) -> str:
+    outcomes = progress.outcomes
+    bad = outcomes.refused + outcomes.broken + outcomes.timed_out + outcomes.unreachable
+    bad += outcomes.wrong_content + outcomes.incomplete_but_clean
+    first_token = progress.first_token
+    return (
+        f"{progress.second:5d} s  {progress.due:4d} requests  {outcomes.answered:4d} answered  "
+        f"{bad:3d} errors  first token p50 {first_token.p50_seconds * 1000:.0f} ms "
+        f"p95 {first_token.p95_seconds * 1000:.0f} ms  leader {watch.leader_name or 'none'}  "
+        f"configuration {watch.configuration_version}"
+    )
+
+
+def _write_files(fleet: FleetFile, layout: FleetLayout) -> None:
+    for folder in (layout.log_folder, layout.execution_folder, layout.folder / "settings"):
+        folder.mkdir(parents=True, exist_ok=True)
+    for file in layout.settings_files:
+        file.path.write_bytes(msgspec.json.encode(file.settings))
+    layout.mix_file.write_bytes(msgspec.json.encode(fleet.traffic))
+
+
+def _read_executions(layout: FleetLayout) -> list[ExecutionRecord]:
+    records: list[ExecutionRecord] = []
+    for path in sorted(layout.execution_folder.iterdir()):
+        records += decode_lines(path.read_bytes(), ExecutionRecord)
+    return records
+
+
+def _read(path: Path) -> bytes:
+    return path.read_bytes() if path.exists() else b""
--- /dev/null
+++ b/src/orchidpath/fleet/startup.py
@@ -0,0 +1,95 @@
+"""Brings a started fleet into service: leader, initial configuration, ready routers, workers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+import aiohttp
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.control.operator_client import (
+    NoControlAnswersError,
+    OperatorClient,
+    OrderNotTakenError,
+    OrderOutcomeUnknownError,
+)
+from orchidpath.fleet.file import FleetFile
+from orchidpath.fleet.layout import FleetLayout, ProcessKind
+
+STEP_TIMEOUT_SECONDS = 60.0
+"""Bound on each step of the start."""
+
+POLL_SECONDS = 0.2
+PROBE_TIMEOUT_SECONDS = 1.0
+INITIAL_ORDER_ID = "fleet-initial-configuration"
+
+
+class FleetStartError(OrchidpathError):
+    """The fleet did not come into service in time."""
+
+
+async def bring_into_service(fleet: FleetFile, layout: FleetLayout, client: OperatorClient) -> None:
+    """Wait for each step of the start in turn.
+
+    Raises
+    ------
+    FleetStartError
+        A step took longer than :data:`STEP_TIMEOUT_SECONDS`.
+    """
+    routers = [plan.http_address for plan in layout.of_kind(ProcessKind.ROUTER)]
+    await _repeat("no leader", lambda: _has_leader(client))
+    await _repeat("configuration not confirmed", lambda: _configure(fleet, client))
+    async with aiohttp.ClientSession() as session:
+        await _repeat("not every router is ready", lambda: _all_ready(session, routers))
+    await _repeat(
+        "not every worker is announced", lambda: _all_announced(client, len(fleet.workers))
+    )
+
+
+async def _repeat(failure: str, step: Callable[[], Awaitable[bool]]) -> None:
+    try:
+        async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
+            while True:
+                if await step():
+                    return
+                await asyncio.sleep(POLL_SECONDS)
+    except TimeoutError as error:
+        raise FleetStartError(f"{failure} after {STEP_TIMEOUT_SECONDS:.0f} s") from error
+
+
+async def _has_leader(client: OperatorClient) -> bool:
+    try:
+        await client.configuration()
+    except NoControlAnswersError:
+        return False
+    return True
+
+
+async def _configure(fleet: FleetFile, client: OperatorClient) -> bool:
+    # A new fleet's newest version is 0, and the order id makes repetitions take effect once.
+    try:
+        reply = await client.submit(INITIAL_ORDER_ID, 0, fleet.configuration)
+    except (OrderNotTakenError, OrderOutcomeUnknownError):
+        return False
+    return reply.confirmed
+
+
+async def _all_ready(session: aiohttp.ClientSession, routers: Sequence[str]) -> bool:
+    ready = await asyncio.gather(*(_is_ready(session, router) for router in routers))
+    return all(ready)
+
+
+async def _is_ready(session: aiohttp.ClientSession, router: str) -> bool:
+    timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+    try:
+        async with session.get(f"http://{router}/health/ready", timeout=timeout) as response:
+            return response.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
+async def _all_announced(client: OperatorClient, count: int) -> bool:
+    try:
+        body = await client.workers()
+    except NoControlAnswersError:
+        return False
+    return len(body.workers) >= count
--- /dev/null
+++ b/src/orchidpath/fleet/watch.py
@@ -0,0 +1,46 @@
+"""Watches the control tier of a running fleet: who leads, and which version is the newest."""
+
+import asyncio
+
+from orchidpath.consensus.types import Role
+from orchidpath.control.operator_bodies import StatusBody
+from orchidpath.control.operator_client import OperatorClient
+
+WATCH_PERIOD_SECONDS = 0.5
+"""Time between two looks."""
+
+
+class ControlWatch:
+    """Newest known state of the control tier.
+
+    Parameters
+    ----------
+    client
+        Client of every control process.
+    """
+
+    def __init__(self, client: OperatorClient) -> None:
+        self._client = client
+        self.leader_name = ""
+        self.configuration_version = 0
+
+    async def run(self) -> None:
+        """Look each :data:`WATCH_PERIOD_SECONDS` until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(WATCH_PERIOD_SECONDS)
+
+    async def refresh(self) -> None:
+        """Look once."""
+        statuses = await self._client.statuses()
+        self.take([status for status in statuses.values() if status is not None])
+
+    def take(self, statuses: list[StatusBody]) -> None:
+        """Take what the control processes say; of two leaders the one of the higher term leads."""
+        leaders = [status for status in statuses if status.role is Role.LEADER]
+        leader = max(leaders, key=lambda status: status.term, default=None)
+        # A replica is called "name.identity".
+        self.leader_name = leader.node_id.rpartition(".")[0] if leader is not None else ""
+        for status in statuses:
+            version = max(self.configuration_version, status.configuration_version)
+            self.configuration_version = version
--- /dev/null
+++ b/tests/fleet/test_fleet_faults.py
@@ -0,0 +1,155 @@
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+from orchidpath.fleet.fault_runner import FaultRunner, write_fault_file
+from orchidpath.fleet.faults import CutTable, timeline
+from orchidpath.fleet.file import ScriptedFault, ScriptedFaultKind
+from orchidpath.fleet.layout import FleetLayout, ProcessKind, ProcessPlan
+from orchidpath.fleet.processes import ChildProcess
+from orchidpath.wire.faults import LinkFaultFileReader, LinkFaults
+
+BOUND_SECONDS = 15.0
+
+
+def fault(kind: str, target: str, at: float, **fields: object) -> ScriptedFault:
+    return ScriptedFault(
+        at_seconds=at,
+        kind=ScriptedFaultKind(kind),
+        target=target,
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+def test_a_fault_that_lasts_gives_its_end_in_the_order_of_times() -> None:
+    script = [
+        fault("freeze", "leader", 5.0, for_seconds=20.0),
+        fault("kill", "router-a", 6.0, for_seconds=1.0),
+        fault("cut", "a", 1.0),
+    ]
+    actions = [(action.at_seconds, action.kind.value, action.number) for action in timeline(script)]
+    assert actions == [
+        (1.0, "cut", 2),
+        (5.0, "freeze", 0),
+        (6.0, "kill", 1),
+        (7.0, "start", 1),
+        (25.0, "wake", 0),
+    ]
+
+
+def test_cuts_reach_the_processes_through_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "link-faults.json"
+    faults = LinkFaults()
+    reader = LinkFaultFileReader(path, faults)
+    cuts = CutTable(seed=3)
+    cuts.cut(0, ["control-a", "router-a"], [], one_way=False)
+    cuts.cut(1, ["router-b"], ["router-c"], one_way=True)
+    write_fault_file(path, cuts)
+    reader.refresh()
+    assert faults.is_cut("control-a.12ab", "router-b")
+    assert faults.is_cut("router-b", "router-a")
+    assert faults.is_cut("router-b", "router-c")
+    assert not faults.is_cut("router-c", "router-b")
+    cuts.heal(0)
+    write_fault_file(path, cuts)
+    reader.refresh()
+    assert not faults.is_cut("router-b", "router-a")
+    assert faults.is_cut("router-b", "router-c")
+    cuts.heal_nodes(["router-b"])
+    assert cuts.as_file().links == []
+
+
+def layout_of(folder: Path, *plans: ProcessPlan) -> FleetLayout:
+    return FleetLayout(
+        folder=folder,
+        processes=plans,
+        settings_files=(),
+        mix_file=folder / "mix.json",
+        history_file=folder / "requests.jsonl",
+        fault_file=folder / "link-faults.json",
+        log_folder=folder,
+        execution_folder=folder,
+    )
+
+
+class RecordingChild(ChildProcess):
+    """Stands for a process: records what would be done to it."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, (), Path())
+        self.done: list[str] = []
+
+    async def start(self) -> None:
+        self.done.append("start")
+
+    async def kill(self) -> None:
+        self.done.append("kill")
+
+    def signal(self, number: signal.Signals) -> None:
+        self.done.append(number.name)
+
+
+def control_plan(name: str, folder: Path) -> ProcessPlan:
+    return ProcessPlan(
+        name=f"control-{name}",
+        machine=name,
+        kind=ProcessKind.CONTROL,
+        arguments=(),
+        http_address="",
+        data_folder=str(folder / name),
+    )
+
+
+async def test_the_end_of_a_fault_meets_the_process_of_its_begin(tmp_path: Path) -> None:
+    children = {name: RecordingChild(name) for name in ("control-a", "control-b")}
+    leaders = iter(["control-a", "control-b"])
+    layout = layout_of(tmp_path, control_plan("a", tmp_path), control_plan("b", tmp_path))
+    runner = FaultRunner(layout, dict(children), lambda: next(leaders), seed=0)
+    script = [
+        fault("freeze", "leader", 0.0, for_seconds=0.01),
+        fault("stop", "leader", 0.02),
+    ]
+    reports: list[str] = []
+    await runner.run(timeline(script), reports.append)
+    assert children["control-a"].done == ["SIGSTOP", "SIGCONT"]
+    assert children["control-b"].done == ["SIGTERM"]
+    assert len(reports) == 3
+
+
+async def test_replaced_disk_is_empty_when_the_process_starts_again(tmp_path: Path) -> None:
+    (tmp_path / "a").mkdir()
+    (tmp_path / "a" / "log").write_text("x")
+    child = RecordingChild("control-a")
+    layout = layout_of(tmp_path, control_plan("a", tmp_path))
+    runner = FaultRunner(layout, {"control-a": child}, lambda: "", seed=0)
+    await runner.run(timeline([fault("replace_disk", "a", 0.0)]), lambda _line: None)
+    assert child.done == ["kill", "start"]
+    assert not (tmp_path / "a").exists()
+
+
+async def test_child_process_is_frozen_stopped_and_restarted(tmp_path: Path) -> None:
+    arguments = ("standin", "service", "--id", "stock-1", "--service", "stock")
+    child = ChildProcess("stock-1", arguments, tmp_path / "log", pipe_output=True)
+    try:
+        await child.start()
+        async with asyncio.timeout(BOUND_SECONDS):
+            assert json.loads(await child.read_line())["ready"] == "stock-1"
+        assert child.is_running
+        child.signal(signal.SIGSTOP)
+        await child.stop(BOUND_SECONDS)
+        assert not child.is_running
+        assert not child.ended_by_itself
+        await child.start()
+        assert child.is_running
+    finally:
+        await child.kill()
+    assert not child.is_running
+
+
+async def test_a_process_that_ends_by_itself_is_noticed(tmp_path: Path) -> None:
+    child = ChildProcess("broken", ("no-such-command",), tmp_path / "log")
+    await child.start()
+    assert await child.wait(BOUND_SECONDS)
+    assert child.ended_by_itself
+    assert "no-such-command" in (tmp_path / "log").read_text()
