At most once: a completed prompt read bars a further attempt unless the route allows it

Ruled out: a decode that ran twice (one execution was logged), a cancel answered by a restarted worker. A promise that could not help is no longer waited for, a handle denied after it lapsed charges nobody, late answers of the leader free their marks, cancel answers name the incarnation, and the clock runs on while a machine is suspended.

--- a/src/orchidpath/common/clock.py
+++ b/src/orchidpath/common/clock.py
@@ -6,7 +6,15 @@
 Clock = Callable[[], float]
 """Returns seconds that only ever grow; their zero point means nothing."""
 
+_BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", None)
+
 
 def monotonic_seconds() -> float:
-    """Return the seconds of the machine's monotonic clock, which also counts while frozen."""
-    return time.monotonic()
+    """Return the seconds of a monotonic clock that runs on while the machine is suspended.
+
+    A lease that ran out while a machine slept must be seen to have run out; the plain monotonic
+    clock of Linux stands still during that time.
+    """
+    if _BOOT_CLOCK is None:
+        return time.monotonic()
+    return time.clock_gettime(_BOOT_CLOCK)
--- a/src/orchidpath/router/control_link.py
+++ b/src/orchidpath/router/control_link.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random as random_module
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol
 
 import msgspec
@@ -14,6 +14,7 @@
 from orchidpath.common.clock import Clock
 from orchidpath.common.logs import get_logger
 from orchidpath.router.decisions import FleetAccess
+from orchidpath.router.late_decisions import LateDecisions
 from orchidpath.router.leader_finder import LeaderFinder
 from orchidpath.router.report_queue import ReportQueue
 from orchidpath.routing.freshness import (
@@ -112,6 +113,7 @@
         self._core = FreshnessCore(record, hello.incarnation, now)
         self._finder = LeaderFinder(seeds, now)
         self._reports = ReportQueue()
+        self._late_decisions = LateDecisions()
         self._announcements: dict[str, Announcement] = {}
         self._announced: dict[str, _Announced] = {}
         self._decisions: dict[int, asyncio.Future[DecisionReply]] = {}
@@ -179,11 +181,16 @@
         except TimeoutError:
             # Until the leader answers again only one request in a while pays for the wait.
             self._tier_retry_at = self._clock() + RETRY_TIER_SECONDS
+            self._late_decisions.given_up(request)
             return None
         finally:
             del self._decisions[request.correlation]
         return None if reply.denial is Denial.NOT_LEADER else reply
 
+    def decided_alone(self, attempt_id: str, worker_ids: Collection[str]) -> None:
+        """Learn which workers the router chose by itself."""
+        self._late_decisions.decided_alone(attempt_id, worker_ids)
+
     def report(self, reports: Sequence[AttemptReport]) -> None:
         """Queue reports for the leader."""
         self._reports.add(reports)
@@ -297,6 +304,8 @@
         waiting = self._decisions.get(reply.correlation)
         if waiting is not None and not waiting.done():
             waiting.set_result(reply)
+            return
+        self._reports.add(self._late_decisions.answered(reply))
 
     def _heartbeat_answered(self, reply: RouterHeartbeatReply, now: float) -> None:
         self._finder.leader_heard(now)
--- a/src/orchidpath/router/decision_maker.py
+++ b/src/orchidpath/router/decision_maker.py
@@ -116,7 +116,10 @@
         reply = await self._fleet.decide(request, self._timeout_seconds)
         now = self._clock()
         if reply is None or reply.denial is Denial.NOT_LEADER:
-            return self._state.fallback.decide(request, now)
+            alone = self._state.fallback.decide(request, now)
+            chosen = [choice.worker_id for choice in alone.choices]
+            self._fleet.decided_alone(request.attempt_id, chosen)
+            return alone
         self._loads.learn(reply.states, now)
         self._state.fallback.begin(request.request_id, request.attempt_id, reply.choices, now)
         return reply
--- a/src/orchidpath/router/decisions.py
+++ b/src/orchidpath/router/decisions.py
@@ -4,7 +4,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from orchidpath.wire.backend import Announcement, AnnouncementReply
 from orchidpath.wire.messages import (
@@ -54,6 +54,10 @@
             None when the control tier is slow or lost.
         """
 
+    @abstractmethod
+    def decided_alone(self, attempt_id: str, worker_ids: Collection[str]) -> None:
+        """Learn which workers the router chose by itself, the leader's answer not being there."""
+
     @abstractmethod
     def report(self, reports: Sequence[AttemptReport]) -> None:
         """Queue reports for the leader; never waits."""
--- a/src/orchidpath/router/http_intake.py
+++ b/src/orchidpath/router/http_intake.py
@@ -80,10 +80,7 @@
     RefusedError
         If the body is not a chat completion or no route takes its model.
     """
-    try:
-        body = msgspec.json.decode(await request.read(), type=ChatCompletionRequest)
-    except msgspec.DecodeError as problem:
-        raise _refused(ErrorCode.BAD_REQUEST, str(problem), request_id) from problem
+    body = _decode_chat(await request.read(), request_id)
     match = state.routes.match_chat(body.model)
     if match is None:
         raise _refused(ErrorCode.UNKNOWN_ROUTE, f"no route for model {body.model!r}", request_id)
@@ -158,6 +155,13 @@
     )
 
 
+def _decode_chat(content: bytes, request_id: str) -> ChatCompletionRequest:
+    try:
+        return msgspec.json.decode(content, type=ChatCompletionRequest)
+    except msgspec.DecodeError as problem:
+        raise _refused(ErrorCode.BAD_REQUEST, str(problem), request_id) from problem
+
+
 def _plan(
     request: web.Request,
     request_id: str,
--- a/src/orchidpath/routing/attempt.py
+++ b/src/orchidpath/routing/attempt.py
@@ -135,6 +135,7 @@
         if not self._is_own_handle(event.request_id, event.handle):
             return self._crossed(Stage.PREFILL, now)
         self._orders.settle(OrderState.COMPLETED)
+        self._handle_expires_at = now + event.handle.expires_in_seconds
         self._shared.handover.record_reached(self._current().worker(Stage.PREFILL))
         self._phase = Phase.DECODING
         worker_id = self._record_order(Stage.DECODE, now)
@@ -258,7 +259,8 @@
         # Nothing may be sent again once content has reached the caller (paper, commit rule).
         if self._phase is Phase.STREAMING and Guard.NO_RETRY_AFTER_COMMIT not in self._disabled:
             return [*instructions, self._break_stream(reason)]
-        if self._orders.is_in_doubt() and not self._may_send_again():
+        in_doubt = self._orders.is_in_doubt() and not self._may_send_again()
+        if in_doubt and self._orders.would_a_promise_help():
             return [*instructions, self._await_promise(now)]
         is_lapse = error is not None and error.code is ErrorCode.HANDLE_LAPSED
         wait_seconds = 0.0
--- a/src/orchidpath/routing/request_core.py
+++ b/src/orchidpath/routing/request_core.py
@@ -4,6 +4,7 @@
 events; which step follows which event is decided in :mod:`.attempt`.
 """
 
+import math
 from collections.abc import Sequence
 from enum import StrEnum
 from random import Random
@@ -94,6 +95,7 @@
         self._decode = self._new_decode()
         self._timer_number = 0
         self._sent_at = 0.0
+        self._handle_expires_at = math.inf
         self._give_up = no_candidates("no worker could serve this request")
 
     @property
@@ -111,6 +113,7 @@
         self._attempt_id = f"{self._shared.random.getrandbits(ATTEMPT_ID_BITS):024x}"
         self._attempt = None
         self._decode = self._new_decode()
+        self._handle_expires_at = math.inf
         self._phase = Phase.DECIDING
         return [events.AskDecision(attempt_id=self._attempt_id, legs=self._retries.legs(now))]
 
@@ -137,6 +140,7 @@
                 prefill_worker_id=attempt.worker(Stage.PREFILL),
                 decode_worker_id=attempt.worker(Stage.DECODE),
                 evidence=evidence,
+                handle_expires_at=self._handle_expires_at,
             )
             verdict = self._shared.handover.record_failure(failure, now)
             return self._reports.report_handover(attempt, charge_of(verdict), reason)
--- a/src/orchidpath/routing/request_orders.py
+++ b/src/orchidpath/routing/request_orders.py
@@ -75,8 +75,10 @@
     def may_send_again(self) -> bool:
         """Whether a further attempt cannot make a call run twice that must not.
 
-        A prompt read that completed does not count: its decode is judged on its own, and the
-        handle is never used by another attempt, so nothing that it made can reach the caller.
+        A prompt read counts as running too, whether it completed or is in doubt, unless the route
+        says ``repeat_prompt_read``: then only a decode that may have run bars a retry. Nothing
+        that a prompt read made can reach the caller twice in any case, since its handle is never
+        used by another attempt; the route decides about the work.
 
         Returns
         -------
@@ -86,6 +88,12 @@
             return True
         return not any(self._bars_a_retry(order) for order in self._orders)
 
+    def would_a_promise_help(self) -> bool:
+        """Whether a promise about the newest order would allow a further attempt."""
+        if self._route.repeatable:
+            return True
+        return not any(self._bars_a_retry(order) for order in self._orders[:-1])
+
     def ran(self) -> Ran:
         """Return the honest answer to a caller who gets no result."""
         if all(order.state in _CANNOT_RUN for order in self._orders):
@@ -95,8 +103,4 @@
     def _bars_a_retry(self, order: Order) -> bool:
         if order.state in _CANNOT_RUN:
             return False
-        if order.stage is not Stage.PREFILL:
-            return True
-        if order.state is OrderState.COMPLETED:
-            return False
-        return not self._route.repeat_prompt_read
+        return order.stage is not Stage.PREFILL or not self._route.repeat_prompt_read
--- a/src/orchidpath/standins/backend_core.py
+++ b/src/orchidpath/standins/backend_core.py
@@ -136,7 +136,11 @@
     def cancel(self, attempt_id: str, now: float) -> CancelReply:
         """Cancel an attempt; one that has not started never will."""
         self.counts.cancelled += 1
-        return CancelReply(attempt_id=attempt_id, ran=self.attempts.cancel(attempt_id, now))
+        return CancelReply(
+            attempt_id=attempt_id,
+            ran=self.attempts.cancel(attempt_id, now),
+            incarnation=self._record.incarnation,
+        )
 
     def obey(self, order: WorkerOrder, handles_outstanding: int) -> WorkerOrderReply:
         """Obey a fenced order, or say why not.
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -23,7 +23,8 @@
     """One service: a pool of workers that can answer the same requests.
 
     ``prefill_workers`` and ``decode_workers`` are the operator's desired counts; they are only
-    acted on through a confirmed plan.
+    acted on through a confirmed plan. ``max_held_workers`` bounds how many workers a plan
+    holds back at once.
     """
 
     name: str
@@ -31,6 +32,7 @@
     models: list[str] = []
     prefill_workers: int = 0
     decode_workers: int = 0
+    max_held_workers: int = 1
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -38,8 +40,8 @@
 
     A model route matches ``model`` of a chat completion; a plain route matches ``method`` and
     ``path`` (a path segment in braces matches any value). ``repeatable`` says whether a call that
-    may have run can be sent again. ``repeat_prompt_read`` lets the prompt read of a call that may
-    not be repeated be tried again as long as no decode was ordered.
+    may have run can be sent again. ``repeat_prompt_read`` lets the prompt of a call that may not
+    be repeated be read again as long as no decode of it can have run.
     """
 
     name: str
--- a/tests/router/edge_fakes.py
+++ b/tests/router/edge_fakes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Sequence
 from contextlib import asynccontextmanager
 from itertools import count
 from random import Random
@@ -272,6 +272,7 @@
         self.current: FleetView | None = view
         self.fresh = True
         self.leader_answers = True
+        self.alone: dict[str, frozenset[str]] = {}
         self.draining: set[str] = set()
         self.requests: list[DecisionRequest] = []
         self.reports: list[AttemptReport] = []
@@ -302,6 +303,9 @@
         )
         return DecisionReply(correlation=request.correlation, term=1, choices=choices)
 
+    def decided_alone(self, attempt_id: str, worker_ids: Collection[str]) -> None:
+        self.alone[attempt_id] = frozenset(worker_ids)
+
     def report(self, reports: Sequence[AttemptReport]) -> None:
         self.reports.extend(reports)
 
--- a/tests/routing/request_machine_world.py
+++ b/tests/routing/request_machine_world.py
@@ -261,7 +261,12 @@
             bound_to = (handle.request_id, handle.attempt_id)
             assert bound_to == (REQUEST, instruction.attempt_id), "a handle of another attempt"
         for order in self.orders:
-            assert self.repeatable or self.allows_another(order), "two orders for one call"
+            is_own_read = (
+                isinstance(instruction, events.SendDecode)
+                and order.attempt_id == instruction.attempt_id
+            )
+            allowed = self.repeatable or is_own_read or self.allows_another(order)
+            assert allowed, "two orders for one call"
         self.orders.append(Sent(instruction))
         executions = [one for one in self.orders if one.kind is not events.SendDecode]
         assert len(executions) <= MAXIMUM_ATTEMPTS
@@ -269,9 +274,7 @@
     def allows_another(self, order: Sent) -> bool:
         if order.cannot_run:
             return True
-        if order.kind is not events.SendPrefill:
-            return False
-        return order.succeeded or self.repeat_prompt_read
+        return order.kind is events.SendPrefill and self.repeat_prompt_read
 
     def check_relay(self, instruction: events.Relay) -> None:
         assert self.committed, "nothing reaches the caller before the commit"
--- a/tests/routing/test_attempt_rules.py
+++ b/tests/routing/test_attempt_rules.py
@@ -124,7 +124,7 @@
         assert driver.rejected().ran is Ran.UNKNOWN
 
     def test_cancel_answer_of_the_prefill_worker_says_nothing_about_the_decode(self) -> None:
-        driver = decoding()
+        driver = decoding(repeat_prompt_read=True)
         driver.fail()
         assert {one.worker_id for one in driver.all(events.Cancel)} == {"p1", "d1"}
         driver.cancel_answer("p1", Ran.NO)
@@ -149,7 +149,7 @@
         assert driver.machine.phase is Phase.CANCELLING
 
     def test_promise_after_content_is_not_believed(self) -> None:
-        driver = decoding(streaming=False)
+        driver = decoding(repeat_prompt_read=True, streaming=False)
         driver.frame(FrameKind.CONTENT)
         driver.frame(FrameKind.ERROR, error=driver.error(ErrorCode.INTERNAL, Ran.NO))
         assert driver.machine.phase is Phase.CANCELLING
@@ -184,6 +184,22 @@
         driver.fail(Observed.TIMED_OUT)
         assert driver.machine.phase is Phase.CANCELLING
 
+    def test_a_completed_prompt_read_counts_as_running_unless_the_route_says_otherwise(
+        self,
+    ) -> None:
+        driver = decoding()
+        driver.refuse(driver.error(ErrorCode.DRAINING, Ran.NO))
+        assert driver.rejected().ran is Ran.UNKNOWN
+        allowed = decoding(repeat_prompt_read=True)
+        allowed.refuse(allowed.error(ErrorCode.DRAINING, Ran.NO))
+        assert isinstance(allowed.last[-1], events.AskDecision)
+
+    def test_a_promise_that_would_not_help_is_not_waited_for(self) -> None:
+        driver = decoding()
+        driver.fail(Observed.TIMED_OUT)
+        assert {one.worker_id for one in driver.all(events.Cancel)} == {"p1", "d1"}
+        assert driver.rejected().ran is Ran.UNKNOWN
+
     def test_late_answer_of_an_earlier_attempt_changes_nothing(self) -> None:
         driver = calling(repeatable=True)
         first = driver.attempt_id
@@ -222,7 +238,7 @@
 
     def test_lapsed_handle_is_neutral_and_read_again_by_a_new_attempt(self) -> None:
         # Design page: a lapsed handle is neutral; the re-read spends the budget and is spread.
-        driver = decoding()
+        driver = decoding(repeat_prompt_read=True)
         first = driver.attempt_id
         driver.refuse(driver.error(ErrorCode.HANDLE_LAPSED, Ran.NO))
         assert driver.reports("p1") == driver.reports("d1") == [AttemptEffect.GATEWAY]
@@ -230,6 +246,12 @@
         driver.elapse()
         assert driver.attempt_id != first
 
+    def test_handle_denied_after_it_lapsed_charges_nobody(self) -> None:
+        driver = decoding()
+        driver.now += 3600.0
+        driver.refuse(driver.error(ErrorCode.UPSTREAM_REFUSED, Ran.NO))
+        assert driver.reports("p1") == driver.reports("d1") == [AttemptEffect.GATEWAY]
+
     def test_denied_handle_charges_the_prompt_side(self) -> None:
         driver = decoding()
         driver.refuse(driver.error(ErrorCode.UPSTREAM_REFUSED, Ran.NO))
@@ -245,7 +267,7 @@
     def test_decode_worker_that_fails_with_several_prompt_workers_is_charged(self) -> None:
         driver = decoding()
         driver.refuse(driver.error(ErrorCode.UPSTREAM_FAILED, Ran.NO))
-        other = decoding(handover=driver.handover)
+        other = decoding(handover=driver.handover, repeat_prompt_read=True)
         other.refuse(other.error(ErrorCode.DRAINING, Ran.NO))
         other.decide("p2", "d1")
         other.read("p2")
