Stand-in caller: the HTTP library never sends a request twice

Cause: aiohttp repeats a GET or PUT once after a lost connection, also on a connection that is not reused, so a caller's lookup could run twice and look like the router's fault. Ruled out: closing each connection after use (the repeat was still seen). Before: GET was sent twice. After: once, for GET, PUT and POST (test_the_library_never_sends_a_request_twice).

--- a/src/orchidpath/standins/router_client.py
+++ b/src/orchidpath/standins/router_client.py
@@ -42,13 +42,25 @@
     stream: bool = True
 
 
-def make_session() -> aiohttp.ClientSession:
-    """Return a session whose connections are not reused.
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Hide a lost connection from the library, which would send a GET or PUT a second time.
 
-    A reused connection may have been closed meanwhile; whether the request was sent would then be
-    unknown, and the client would repeat a GET on its own.
+    Whether the first one ran is unknown then, and only the caller may decide to send it again.
     """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(str(error)) from error
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Return a session that sends each request once, over a connection of its own."""
     return aiohttp.ClientSession(
+        middlewares=(_send_once,),
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
         read_bufsize=READ_BUFFER_BYTES,
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -1,16 +1,19 @@
 """Callers against a small router that answers as each test says."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import aiohttp
 import msgspec
+import pytest
 from aiohttp import web
 
 from orchidpath.standins.answers import answer_tokens, expected_call_body
 from orchidpath.standins.caller import Callers, CallerSettings
 from orchidpath.standins.caller_report import CallerProgress, CallerSummary
 from orchidpath.standins.return_policy import ReturnPolicy
-from orchidpath.standins.router_client import ChatCompletionRequest
+from orchidpath.standins.router_client import ChatCompletionRequest, make_session
 from orchidpath.standins.traffic_mix import (
     CrowdBurst,
     TokenDistribution,
@@ -212,3 +215,22 @@
         assert plain.outcomes.answered == plain.plain_call.count == REQUESTS
         leaving = await call_routers([url], disconnect_share=1.0)
         assert leaving.outcomes.abandoned == REQUESTS
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+async def test_the_library_never_sends_a_request_twice(method: str) -> None:
+    seen = 0
+
+    async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal seen
+        await reader.readuntil(b"\r\n\r\n")
+        seen += 1
+        writer.close()
+
+    server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with make_session() as session:
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await session.request(method, f"http://127.0.0.1:{port}/")
+    server.close()
+    assert seen == 1
