Local fleet: a frozen process does not hide a new leader; an early end fails the start

Cause: the watch waited 5 s for a frozen control process, so the live line showed no leader while one was elected within a second. Change: the watch has a bound of 0.5 s; a process that ends while the fleet starts fails it at once; a refused Hello is answered before the connection closes.

--- a/src/orchidpath/fleet/processes.py
+++ b/src/orchidpath/fleet/processes.py
@@ -51,6 +51,11 @@
         """Whether the process ended although nothing here ended it."""
         return self._process is not None and not self.is_running and not self._end_expected
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the newest start; negative for a signal, None while it is running."""
+        return None if self._process is None else self._process.returncode
+
     def expect_end(self) -> None:
         """Take the end of the process, by whatever cause, as wanted."""
         self._end_expected = True
--- a/src/orchidpath/fleet/runner.py
+++ b/src/orchidpath/fleet/runner.py
@@ -24,7 +24,7 @@
 from orchidpath.fleet.layout import FleetLayout, ProcessKind, make_layout, ports_needed
 from orchidpath.fleet.ports import choose_ports
 from orchidpath.fleet.processes import ChildProcess, stop_all
-from orchidpath.fleet.startup import bring_into_service
+from orchidpath.fleet.startup import POLL_SECONDS, FleetStartError, bring_into_service
 from orchidpath.fleet.summary import FleetSummary, RunEvidence, summarise
 from orchidpath.fleet.watch import ControlWatch
 from orchidpath.standins.caller_report import CallerProgress, CallerSummary, RequestResult
@@ -40,6 +40,10 @@
 """Bound on the polite end of each process; more than any process's own drain time."""
 
 CONTROL_READ_TIMEOUT_SECONDS = 5.0
+"""Bound on an answer while the fleet is brought into service."""
+
+WATCH_READ_TIMEOUT_SECONDS = 0.5
+"""Bound on an answer while the fleet is watched: a frozen process must not hide a new leader."""
 
 
 class CallersFailedError(OrchidpathError):
@@ -96,24 +100,26 @@
         Raises
         ------
         FleetStartError
-            The fleet did not come into service.
+            The fleet did not come into service, or one of its processes ended before.
         CallersFailedError
             The callers ended without a summary.
         """
         _write_files(self._fleet, self._layout)
         addresses = [plan.http_address for plan in self._layout.of_kind(ProcessKind.CONTROL)]
         try:
-            async with OperatorClient(addresses, CONTROL_READ_TIMEOUT_SECONDS) as client:
-                return await self._run_with(client)
+            async with (
+                OperatorClient(addresses, CONTROL_READ_TIMEOUT_SECONDS) as client,
+                OperatorClient(addresses, WATCH_READ_TIMEOUT_SECONDS) as watch_client,
+            ):
+                return await self._run_with(client, ControlWatch(watch_client))
         finally:
             await self._stop_everything()
 
-    async def _run_with(self, client: OperatorClient) -> FleetSummary:
+    async def _run_with(self, client: OperatorClient, watch: ControlWatch) -> FleetSummary:
         for child in self._children.values():
             await child.start()
         await self._until_stopped(bring_into_service(self._fleet, self._layout, client))
         self._say_where()
-        watch = ControlWatch(client)
         helpers = [asyncio.create_task(watch.run()), asyncio.create_task(self._run_faults(watch))]
         try:
             callers = await self._run_callers(watch)
@@ -127,13 +133,21 @@
     async def _until_stopped(self, start: Coroutine[Any, Any, None]) -> None:
         starting = asyncio.create_task(start)
         stopped = asyncio.create_task(self._stop_requested.wait())
+        watching = asyncio.create_task(self._fail_when_one_ends())
+        waits: list[asyncio.Task[Any]] = [starting, stopped, watching]
         try:
-            await asyncio.wait({starting, stopped}, return_when=asyncio.FIRST_COMPLETED)
-            if not starting.done():
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if stopped.done():
                 raise CallersFailedError("stopped before any traffic was sent")
-            starting.result()
         finally:
-            await _cancel([starting, stopped])
+            await _cancel(waits)
+
+    async def _fail_when_one_ends(self) -> None:
+        while True:
+            ended = [child.name for child in self._children.values() if child.ended_by_itself]
+            if ended:
+                raise FleetStartError(f"ended by itself while starting: {', '.join(ended)}")
+            await asyncio.sleep(POLL_SECONDS)
 
     async def _run_callers(self, watch: ControlWatch) -> CallerSummary:
         await self._callers.start()
--- a/src/orchidpath/fleet/startup.py
+++ b/src/orchidpath/fleet/startup.py
@@ -19,6 +19,8 @@
 """Bound on each step of the start."""
 
 POLL_SECONDS = 0.2
+"""Time between two looks at anything that is awaited."""
+
 PROBE_TIMEOUT_SECONDS = 1.0
 INITIAL_ORDER_ID = "fleet-initial-configuration"
 
--- a/src/orchidpath/wire/connection.py
+++ b/src/orchidpath/wire/connection.py
@@ -190,12 +190,13 @@
             self._on_message(self, message)
 
     def _take_hello(self, message: Message) -> None:
+        # Closed, not aborted: this end's Hello still goes out, so the other end learns why.
         if not isinstance(message, Hello):
-            self.abort(HelloError(f"first message is {type(message).__name__}, not Hello"))
+            self.close(HelloError(f"first message is {type(message).__name__}, not Hello"))
             return
         if message.fleet != self._hello.fleet:
             mismatch = f"other end is of fleet {message.fleet!r}, not {self._hello.fleet!r}"
-            self.abort(FleetMismatchError(mismatch))
+            self.close(FleetMismatchError(mismatch))
             return
         if self._blocks_hello(message):
             return
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -139,6 +139,7 @@
         child.signal(signal.SIGSTOP)
         await child.stop(BOUND_SECONDS)
         assert not child.is_running
+        assert child.exit_code == 0, "it was woken and ended politely"
         assert not child.ended_by_itself
         await child.start()
         assert child.is_running
--- a/tests/wire/test_wire_connection.py
+++ b/tests/wire/test_wire_connection.py
@@ -73,7 +73,7 @@
     connected: list[Connection] = []
     listener = Listener(LOOPBACK, hello("a", fleet="other"), connected.append)
     await listener.start()
-    with pytest.raises((FleetMismatchError, ConnectError)):
+    with pytest.raises(FleetMismatchError):
         await connect(listener.address, hello("b"), Inbox(), BOUND_SECONDS)
     assert connected == []
     await listener.close()
@@ -262,3 +262,20 @@
     connection.data_received(b"".join(frames))
     assert received == [WhoIsControl()]
     connection.connection_lost(None)
+
+
+async def test_first_message_other_than_hello_is_a_typed_error() -> None:
+    connected: list[Connection] = []
+    connection = Connection(
+        hello("a"),
+        connected.append,
+        lambda _connection, _message: None,
+        lambda _connection: None,
+    )
+    transport = MemoryTransport()
+    connection.connection_made(transport)
+    connection.data_received(encode_frame(WhoIsControl()))
+    assert isinstance(connection.error, HelloError)
+    assert transport.is_closing()
+    assert connected == []
+    connection.connection_lost(None)
