--- a/src/orchidpath/circuit/roster.py
+++ b/src/orchidpath/circuit/roster.py
@@ -91,8 +91,9 @@
         WorkerCircuit
             The circuit that the worker has, or will have when it comes.
         """
-        retired = self._retired.get(worker_id)
-        return retired or self._tracked(worker_id).circuit
+        if worker_id in self._workers or not self._is_known:
+            return self._tracked(worker_id).circuit
+        return self._retired.setdefault(worker_id, WorkerCircuit(worker_id))
 
     def forget_circuit(self, worker_id: str) -> None:
         """Follow the log when it drops the agreed circuit of a worker.
@@ -147,7 +148,6 @@
         worker = self._workers.get(worker_id)
         if worker is None:
             worker = TrackedWorker(worker_id, self._health_window_seconds)
-            worker.eligible = not self._is_known
             self._workers[worker_id] = worker
         return worker
 
--- a/tests/circuit/test_circuit_properties.py
+++ b/tests/circuit/test_circuit_properties.py
@@ -33,6 +33,7 @@
         self.worker_id = worker_id
         self.begun_at = at
         self.probe_generation: int | None = None
+        self.begun_generation = 0
 
     def ends(self, effect: AttemptEffect) -> AttemptReport:
         return report_of(
@@ -128,6 +129,7 @@
     def begin(self, attempt: Attempt) -> None:
         record = self.agreed.circuits.get(attempt.worker_id)
         is_closed = record is None or record.status is CircuitStatus.AVAILABLE
+        attempt.begun_generation = record.generation if record is not None else 0
         if not is_closed:
             assert record is not None
             assert record.status is CircuitStatus.HALF_OPEN
@@ -135,39 +137,71 @@
             assert attempt.probe_generation == record.generation
         self.running.append(attempt)
 
+    @rule(name=st.sampled_from(WORKERS))
+    def open_circuit(self, name: str) -> None:
+        for _ in range(SENSITIVE_POLICY.allowed_fails):
+            self.run_one(name, AttemptEffect.TRANSIENT)
+
+    @rule(name=st.sampled_from(WORKERS), effect=EFFECTS)
+    def probe(self, name: str, effect: AttemptEffect) -> None:
+        self.now += POLICY.cooldown_seconds
+        self.run_one(name, effect)
+
+    def run_one(self, name: str, effect: AttemptEffect) -> None:
+        running_before = len(self.running)
+        self.decide([name], same_request=False)
+        if len(self.running) > running_before:
+            self.finish(self.running[-1], effect)
+
     @precondition(lambda self: self.running)
     @rule(data=st.data(), effect=EFFECTS)
     def end(self, data: st.DataObject, effect: AttemptEffect) -> None:
-        attempt = data.draw(st.sampled_from(self.running))
+        self.finish(data.draw(st.sampled_from(self.running)), effect)
+
+    def finish(self, attempt: Attempt, effect: AttemptEffect) -> None:
         self.running.remove(attempt)
         self.ended.append(attempt.ends(effect))
-        self.count(self.ended[-1], repeated=False)
+        before = self.agreed.circuits.get(attempt.worker_id)
+        is_counted = self.count(self.ended[-1], repeated=False)
+        is_remembered = attempt.begun_at + POLICY.in_flight_ttl_seconds > self.now
+        if is_counted and is_remembered:
+            # A failure begun on an earlier generation is late.
+            assert attempt.begun_generation == (before.generation if before is not None else 0)
 
     @precondition(lambda self: self.ended)
     @rule(data=st.data())
     def repeat(self, data: st.DataObject) -> None:
         self.count(data.draw(st.sampled_from(self.ended)), repeated=True)
 
-    def count(self, ended: AttemptReport, *, repeated: bool) -> None:
+    def count(self, ended: AttemptReport, *, repeated: bool) -> bool:
+        """Report an end; return whether it was counted as a failure of a closed circuit."""
         worker_id = ended.worker_id
         before = self.agreed.circuits.get(worker_id)
         failures_before = self.failures(worker_id)
+        view_before = self.agreed.table.view(self.now)
         count = self.agreed.report(ended, self.now)
         after = self.agreed.circuits.get(worker_id)
         if repeated:
             assert count == 0
-            assert self.failures(worker_id) == failures_before
+            assert self.agreed.table.view(self.now) == view_before
         if before is not None and before.status in OPEN:
             # Late failures never extend, and late successes never close.
             assert after == before
         if before is not None and before.status is CircuitStatus.HALF_OPEN and after != before:
             assert before.probe_owner == ended.attempt_id
+            is_lapsed = self.probes[worker_id][-1][1] <= self.now
+            assert ended.effect is AttemptEffect.SUCCESS or not is_lapsed
             self.release_probe(worker_id, before.generation)
-        if self.failures(worker_id) > failures_before:
+        is_closed = before is None or before.status is CircuitStatus.AVAILABLE
+        is_failure = ended.effect is AttemptEffect.TRANSIENT
+        has_opened = is_closed and is_failure and count == 1
+        is_counted = has_opened or self.failures(worker_id) > failures_before
+        if is_counted:
             # Counted at most once for each request and worker, as long as that is remembered.
             key = (ended.request_id, worker_id)
             assert self.now - self.charged_at.get(key, -math.inf) >= REMEMBERED_SECONDS
             self.charged_at[key] = self.now
+        return is_counted
 
     def release_probe(self, worker_id: str, generation: int) -> None:
         self.probes[worker_id] = [
--- a/tests/circuit/test_circuit_table.py
+++ b/tests/circuit/test_circuit_table.py
@@ -291,6 +291,17 @@
     assert table.status("a", 5.0) == "cooldown"
 
 
+def test_an_agreed_circuit_of_a_worker_that_is_not_there_shows_no_worker() -> None:
+    table = table_of("a", "b")
+    table.open("a", 0.0)
+    later = table_of("b")
+    later.table.apply_circuit(table.circuits["a"], 0.0)
+    assert [view.worker_id for view in later.table.view(1.0)] == ["b"]
+    assert later.table.circuits_view(1.0).circuits == ()
+    later.table.set_workers([worker("a"), worker("b")])
+    assert later.status("a", 1.0) == "cooldown"
+
+
 def test_a_new_leader_rebuilds_from_the_routers_counters_once() -> None:
     # Design page: it must be decided how state survives a fail-over.
     table = table_of("a")
