--- a/src/orchidpath/consensus/errors.py
+++ b/src/orchidpath/consensus/errors.py
@@ -1,7 +1,9 @@
 """Errors of the consensus package."""
 
+from orchidpath.common.errors import OrchidpathError
 
-class ConsensusError(Exception):
+
+class ConsensusError(OrchidpathError):
     """Base of all errors of this package."""
 
 
--- a/src/orchidpath/router/control_link.py
+++ b/src/orchidpath/router/control_link.py
@@ -132,6 +132,10 @@
         """Name the one that is told what this link learns; before :meth:`start`."""
         self._listener_object = listener
 
+    def set_seeds(self, seeds: Sequence[str]) -> None:
+        """Take other seeds in a running router."""
+        self._finder.set_seeds(seeds)
+
     async def start(self) -> None:
         """Listen, connect and begin to ask for a lease."""
         await self._listener.start()
--- a/src/orchidpath/router/leader_finder.py
+++ b/src/orchidpath/router/leader_finder.py
@@ -31,6 +31,10 @@
         self._leader_heard_at = now - LEADER_SILENT_SECONDS
         self._next_ask_at = now
 
+    def set_seeds(self, seeds: Sequence[str]) -> None:
+        """Take other seeds; what was learned through the earlier ones stays."""
+        self._seeds = tuple(seeds)
+
     @property
     def members(self) -> ControlMembers:
         """What this process answers to ``WhoIsControl``."""
