--- a/src/orchidpath/cli/main.py
+++ b/src/orchidpath/cli/main.py
@@ -16,6 +16,8 @@
     "config": "orchidpath.cli.config",
     "control": "orchidpath.cli.control",
     "fleet": "orchidpath.cli.fleet",
+    "plan": "orchidpath.cli.plan",
+    "replay": "orchidpath.cli.replay",
     "router": "orchidpath.cli.router",
     "simulate": "orchidpath.cli.simulate",
     "standin": "orchidpath.cli.standin",
--- /dev/null
+++ b/src/orchidpath/cli/plan.py
@@ -0,0 +1,215 @@
+"""``orchidpath plan``: what would move, and orders about plans."""
+
+import shlex
+import uuid
+from typing import NoReturn
+
+import click
+import msgspec
+
+from orchidpath.cli.operator_client import control_option, echo_json, run_with_client
+from orchidpath.common.daemon import ExitCode
+from orchidpath.control.operator_client import (
+    OperatorClient,
+    OrderNotTakenError,
+    OrderOutcomeUnknownError,
+    PlanRefusedError,
+)
+from orchidpath.control.plan_bodies import PlanErrorBody, PlanOrderReplyBody
+from orchidpath.placement.planner import PlanPreview, ServicePreview
+from orchidpath.state.plans import PlanRecord
+from orchidpath.wire.messages import PlanAction
+
+_json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+_order_id_option = click.option(
+    "--order-id", help="Identifier of this order; by default a new one."
+)
+
+
+@click.group()
+def plan() -> None:
+    """Show what would move to the desired state, and confirm or steer a plan."""
+
+
+@plan.command()
+@control_option
+@_json_option
+def show(control_addresses: tuple[str, ...], as_json: bool) -> None:
+    """Print what would move now, worker by worker, and how far the newest plan is."""
+    body = run_with_client(control_addresses, OperatorClient.plan)
+    if as_json:
+        echo_json(body)
+        return
+    if body.newest is not None:
+        _show_progress(body.newest)
+    _show_preview(body.preview)
+
+
+@plan.command()
+@click.argument("plan_id")
+@_order_id_option
+@control_option
+@_json_option
+@click.pass_context
+def confirm(
+    ctx: click.Context,
+    plan_id: str,
+    order_id: str | None,
+    control_addresses: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """Let the plan PLAN_ID run; refused if it is not what would be done now."""
+    _order(ctx, PlanAction.CONFIRM, plan_id, order_id, control_addresses, as_json)
+
+
+@plan.command()
+@click.argument("plan_id")
+@_order_id_option
+@control_option
+@_json_option
+@click.pass_context
+def halt(
+    ctx: click.Context,
+    plan_id: str,
+    order_id: str | None,
+    control_addresses: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """Begin no further step of the plan PLAN_ID; steps that are open go on to their end."""
+    _order(ctx, PlanAction.HALT, plan_id, order_id, control_addresses, as_json)
+
+
+@plan.command()
+@click.argument("plan_id")
+@_order_id_option
+@control_option
+@_json_option
+@click.pass_context
+def resume(
+    ctx: click.Context,
+    plan_id: str,
+    order_id: str | None,
+    control_addresses: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """Let the halted plan PLAN_ID go on."""
+    _order(ctx, PlanAction.RESUME, plan_id, order_id, control_addresses, as_json)
+
+
+@plan.command()
+@click.argument("plan_id")
+@_order_id_option
+@control_option
+@_json_option
+@click.pass_context
+def cancel(
+    ctx: click.Context,
+    plan_id: str,
+    order_id: str | None,
+    control_addresses: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """End the plan PLAN_ID; workers that have not been switched keep their part."""
+    _order(ctx, PlanAction.CANCEL, plan_id, order_id, control_addresses, as_json)
+
+
+def _order(
+    ctx: click.Context,
+    action: PlanAction,
+    plan_id: str,
+    order_id: str | None,
+    control_addresses: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """Send one order; its id makes a repetition safe."""
+    order_id = order_id or str(uuid.uuid4())
+    repeat = _repeat_command(action, plan_id, order_id, control_addresses)
+    try:
+        reply = run_with_client(
+            control_addresses, lambda client: client.order_plan(action, plan_id, order_id)
+        )
+    except PlanRefusedError as error:
+        _fail_refused(ctx, error.body, as_json)
+    except OrderNotTakenError as error:
+        click.echo(f"not taken, nothing changed: {error}", err=True)
+        ctx.exit(ExitCode.FAILED)
+    except OrderOutcomeUnknownError as error:
+        click.echo(f"no answer, the order may have been taken: {error}", err=True)
+        click.echo(f"send the same order again: {repeat}", err=True)
+        ctx.exit(ExitCode.FAILED)
+    _report(reply, as_json)
+
+
+def _report(reply: PlanOrderReplyBody, as_json: bool) -> None:
+    if as_json:
+        echo_json(reply)
+        return
+    click.echo(f"{reply.action}: plan {reply.plan_id} (order id {reply.order_id})")
+
+
+def _fail_refused(ctx: click.Context, body: PlanErrorBody, as_json: bool) -> NoReturn:
+    if as_json:
+        echo_json(body)
+        ctx.exit(ExitCode.INVALID_INPUT)
+    click.echo(f"refused ({body.error.code}): {body.error.message}", err=True)
+    if body.preview is not msgspec.UNSET:
+        click.echo("what would be done now:")
+        _show_preview(body.preview)
+    ctx.exit(ExitCode.INVALID_INPUT)
+
+
+def _show_progress(record: PlanRecord) -> None:
+    progress = record.progress
+    reason = f" ({progress.reason})" if progress.reason else ""
+    click.echo(f"newest plan {record.plan.plan_id}: {progress.status}{reason}")
+    for number, (step, state) in enumerate(
+        zip(record.plan.steps, progress.steps, strict=True), start=1
+    ):
+        detail = f" ({state.reason})" if state.reason else ""
+        click.echo(
+            f"  {number}. {step.worker_id}: {step.from_stage} -> {step.to_stage}, "
+            f"{state.phase}{detail}"
+        )
+
+
+def _show_preview(preview: PlanPreview) -> None:
+    for refusal in preview.refusals:
+        click.echo(f"{refusal.service}: nothing planned, {refusal.reason}: {refusal.message}")
+    if preview.not_counted:
+        click.echo(f"not counted, they serve nobody now: {', '.join(preview.not_counted)}")
+    if not preview.steps:
+        click.echo("nothing would move")
+        return
+    click.echo(f"plan {preview.plan.plan_id}")
+    click.echo(f"  made for configuration version {preview.plan.configuration_version}")
+    for service in preview.services:
+        _show_service(service)
+    for number, step in enumerate(preview.steps, start=1):
+        click.echo(
+            f"  {number}. {step.step.worker_id} of {step.step.service}: "
+            f"{step.step.from_stage} -> {step.step.to_stage} "
+            f"(zone {step.zone or '-'}, failure domain {step.failure_domain}, "
+            f"{step.ring_share:.2%} of the prefill ring)"
+        )
+    click.echo(f"confirm with: orchidpath plan confirm {preview.plan.plan_id}")
+
+
+def _show_service(service: ServicePreview) -> None:
+    click.echo(
+        f"  {service.service}: prefill {service.prefill_before} -> {service.prefill_after}, "
+        f"decode {service.decode_before} -> {service.decode_after}; "
+        f"{service.moved_ring_share:.2%} of the prefill ring's keys move"
+    )
+    click.echo(
+        f"    {service.held_at_once} held back at once, each {service.held_seconds_at_most:.0f} s "
+        f"at most; {service.plan_seconds_at_most:.0f} s in all at most"
+    )
+
+
+def _repeat_command(
+    action: PlanAction, plan_id: str, order_id: str, control: tuple[str, ...]
+) -> str:
+    command = ["orchidpath", "plan", action.value, plan_id, "--order-id", order_id]
+    for address in control:
+        command += ["--control", address]
+    return shlex.join(command)
--- a/src/orchidpath/control/access.py
+++ b/src/orchidpath/control/access.py
@@ -13,10 +13,12 @@
 from orchidpath.circuit.table import WorkerCircuitView
 from orchidpath.common.clock import Clock
 from orchidpath.control.core import ControlCore
-from orchidpath.control.effects import OrderAnswered, ReadFailed, ReadReady
+from orchidpath.control.effects import OrderAnswered, PlanAnswered, ReadFailed, ReadReady
 from orchidpath.control.operator_api import ControlAccess, UnavailableError
 from orchidpath.control.operator_bodies import StatusBody, SubmitResult, SubmitStatus, Taken
 from orchidpath.control.orders import CONFIRM_WAIT_SECONDS
+from orchidpath.control.plan_api import PlanAccess
+from orchidpath.control.plan_bodies import PlanOrderResult
 from orchidpath.control.runner import CoreRunner
 from orchidpath.state.commands import SubmitConfiguration
 from orchidpath.state.machine import FleetState
@@ -27,6 +29,10 @@
     OrderAnswer,
     OrderReply,
     OrderRequest,
+    PlanAction,
+    PlanOrderAnswer,
+    PlanOrderReply,
+    PlanOrderRequest,
     ReadIndexReply,
     ReadIndexRequest,
     WorkerCircuitsReply,
@@ -51,7 +57,7 @@
 Answer = TypeVar("Answer")
 
 
-class LocalControlAccess(ControlAccess):
+class LocalControlAccess(ControlAccess, PlanAccess):
     """Answers operators from this process's core, or from the leader's.
 
     Parameters
@@ -91,6 +97,23 @@
             return SubmitResult(status=SubmitStatus.UNAVAILABLE, taken=Taken.UNKNOWN)
         return _submit_result(answer)
 
+    async def order_plan(self, order_id: str, action: PlanAction, plan_id: str) -> PlanOrderResult:
+        """Take an order about a plan here, or forward it to the leader, and wait for it."""
+        key = self._new_key()
+        order = PlanOrderRequest(correlation=key, order_id=order_id, action=action, plan_id=plan_id)
+        if self._core.is_leader:
+            self._runner.post(lambda now: self._core.order_plan(key, order, now))
+        elif not self._send_to_leader(order):
+            self._waiting.pop(key)
+            reason = "no leader is known"
+            return PlanOrderResult(answer=PlanOrderAnswer.NOT_TAKEN, reason=reason)
+        try:
+            answer = await self._wait(key, PlanAnswered, ORDER_TIMEOUT_SECONDS)
+        except TimeoutError:
+            reason = "no outcome in time"
+            return PlanOrderResult(answer=PlanOrderAnswer.UNKNOWN, reason=reason)
+        return PlanOrderResult(answer=answer.answer, reason=answer.reason)
+
     async def read_state(self) -> FleetState:
         """Return this process's state once it holds everything confirmed before the call."""
         try:
@@ -165,6 +188,9 @@
                     message.correlation, message.answer, message.version, message.reason
                 )
                 self.answered(message.correlation, answer)
+            case PlanOrderReply():
+                outcome = PlanAnswered(message.correlation, message.answer, message.reason)
+                self.answered(message.correlation, outcome)
             case ReadIndexReply() | WorkerCircuitsReply():
                 self.answered(message.correlation, message)
             case _:
--- a/src/orchidpath/control/core.py
+++ b/src/orchidpath/control/core.py
@@ -29,6 +29,7 @@
 from orchidpath.control.effects import (
     ControlEffect,
     OrderAnswered,
+    PlanAnswered,
     ReadFailed,
     ReadReady,
     SendToMember,
@@ -37,6 +38,7 @@
 from orchidpath.control.leader import LeaderDuties, not_leader_reply
 from orchidpath.control.member_manager import MemberManager, MemberPolicy
 from orchidpath.control.orders import OrderBook
+from orchidpath.control.plan_orders import PlanOrderBook, plan_command
 from orchidpath.state.commands import (
     Command,
     LeaderStarted,
@@ -45,7 +47,8 @@
     encode_command,
 )
 from orchidpath.state.machine import FleetState
-from orchidpath.state.outcomes import OrderResult
+from orchidpath.state.outcomes import OrderResult, PlanResult
+from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
 from orchidpath.wire.messages import (
     AttemptReports,
     CapacityObserved,
@@ -59,6 +62,8 @@
     Message,
     OrderReply,
     OrderRequest,
+    PlanOrderReply,
+    PlanOrderRequest,
     ReadIndexReply,
     ReadIndexRequest,
     RouterHeartbeat,
@@ -118,6 +123,7 @@
         self._disabled_guards = disabled_guards
         self._members = MemberManager(policy, 0.0)
         self._orders = OrderBook()
+        self._plan_orders = PlanOrderBook()
         self._reads: list[_PendingRead] = []
         self._outbox: list[ControlEffect] = []
         self._proposals: list[Command] = []
@@ -172,6 +178,8 @@
             self._join_requested(message)
         elif isinstance(message, OrderRequest):
             self._take_forwarded_order(sender_id, message, now)
+        elif isinstance(message, PlanOrderRequest):
+            self._order_plan(self._forwarded_key(sender_id, message.correlation), message, now)
         elif isinstance(message, ReadIndexRequest):
             self._answer_read_index(sender_id, message, now)
         elif isinstance(message, WorkerCircuitsRequest):
@@ -185,6 +193,19 @@
         self._submit(key, order, now)
         return self._drain(now)
 
+    def order_plan(self, key: int, order: PlanOrderRequest, now: float) -> list[ControlEffect]:
+        """Take an order about a plan; `PlanAnswered` with ``key`` follows, now or later."""
+        self._order_plan(key, order, now)
+        return self._drain(now)
+
+    def worker_order_answered(
+        self, order: WorkerOrder, reply: WorkerOrderReply | None, now: float
+    ) -> list[ControlEffect]:
+        """Take a worker's answer to an order; None if there was none in time."""
+        if self.duties is not None and reply is not None:
+            self.duties.plan_driver.order_answered(order, reply)
+        return self._drain(now)
+
     def read(self, key: int, now: float) -> list[ControlEffect]:
         """Ask for a linearizable read; `ReadReady` or `ReadFailed` with ``key`` follows."""
         if self.has_authority(now):
@@ -265,9 +286,7 @@
         self._run(effects, now)
 
     def _take_forwarded_order(self, sender_id: str, request: OrderRequest, now: float) -> None:
-        key = self._next_forwarded_key
-        self._next_forwarded_key -= 1
-        self._forwarded[key] = (sender_id, request.correlation)
+        key = self._forwarded_key(sender_id, request.correlation)
         order = SubmitConfiguration(
             order_id=request.order_id,
             base_version=request.base_version,
@@ -276,6 +295,26 @@
         )
         self._submit(key, order, now)
 
+    def _forwarded_key(self, sender_id: str, correlation: int) -> int:
+        """Return a key whose answer goes back to the process that forwarded the order."""
+        key = self._next_forwarded_key
+        self._next_forwarded_key -= 1
+        self._forwarded[key] = (sender_id, correlation)
+        return key
+
+    def _order_plan(self, key: int, order: PlanOrderRequest, now: float) -> None:
+        if not self.has_authority(now):
+            self._outbox.append(self._plan_orders.not_taken(key))
+            return
+        command = plan_command(order, self.state)
+        try:
+            indexes, effects = self.raft.propose([encode_command(command)], now)
+        except NotLeaderError:
+            self._outbox.append(self._plan_orders.not_taken(key))
+            return
+        self._plan_orders.proposed(key, indexes[0], self.raft.term)
+        self._run(effects, now)
+
     def _answer_read_index(self, sender_id: str, request: ReadIndexRequest, now: float) -> None:
         reply = ReadIndexReply(
             correlation=request.correlation,
@@ -345,6 +384,8 @@
         if isinstance(result.outcome, OrderResult):
             answers = self._orders.applied(entry, result.outcome, self.state.revision, now)
             self._outbox.extend(answers)
+        if isinstance(result.outcome, PlanResult):
+            self._outbox.extend(self._plan_orders.applied(entry, result.outcome))
 
     def _take_up_duties(self, now: float) -> None:
         """Begin to act as the leader once the first entry of this term has been applied.
@@ -371,6 +412,7 @@
             return
         self._proposals.clear()
         self._outbox.extend(self._orders.leadership_lost())
+        self._outbox.extend(self._plan_orders.leadership_lost())
 
     def _finish_reads(self, now: float) -> None:
         waiting = self._reads
@@ -440,9 +482,16 @@
         self._run(effects, now)
 
     def _answer_forwarded(self, effect: ControlEffect) -> ControlEffect:
-        if not isinstance(effect, OrderAnswered) or effect.key not in self._forwarded:
+        if not isinstance(effect, OrderAnswered | PlanAnswered):
+            return effect
+        if effect.key not in self._forwarded:
             return effect
         node_id, correlation = self._forwarded.pop(effect.key)
+        if isinstance(effect, PlanAnswered):
+            answer = PlanOrderReply(
+                correlation=correlation, answer=effect.answer, reason=effect.reason
+            )
+            return SendToNode(node_id, answer)
         reply = OrderReply(
             correlation=correlation,
             answer=effect.answer,
--- a/src/orchidpath/control/effects.py
+++ b/src/orchidpath/control/effects.py
@@ -12,7 +12,8 @@
     PersistHardState,
     PersistSnapshot,
 )
-from orchidpath.wire.messages import ConsensusMessage, Message, OrderAnswer
+from orchidpath.wire.backend import WorkerOrder
+from orchidpath.wire.messages import ConsensusMessage, Message, OrderAnswer, PlanOrderAnswer
 
 
 class SendToMember(msgspec.Struct, frozen=True):
@@ -51,6 +52,21 @@
     key: int
 
 
+class PlanAnswered(msgspec.Struct, frozen=True):
+    """The outcome of an order about a plan that this process was asked to take under ``key``."""
+
+    key: int
+    answer: PlanOrderAnswer
+    reason: str = ""
+
+
+class SendWorkerOrder(msgspec.Struct, frozen=True):
+    """Post an order to a worker at its HTTP base address and hand its answer back to the core."""
+
+    url: str
+    order: WorkerOrder
+
+
 PersistEffect = PersistHardState | PersistEntries | PersistSnapshot
 
 ControlEffect = (
@@ -61,4 +77,6 @@
     | OrderAnswered
     | ReadReady
     | ReadFailed
+    | PlanAnswered
+    | SendWorkerOrder
 )
--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -13,6 +13,7 @@
 from orchidpath.control.confirmation import ConfirmationGuard, ConfirmationTracker, Roster
 from orchidpath.control.effects import ControlEffect, SendToNode
 from orchidpath.control.liveness import ROUTER_REMOVAL_SECONDS, LivenessTracker
+from orchidpath.control.plan_driver import PlanDriver
 from orchidpath.state.commands import (
     CapacityChanged,
     CircuitChanged,
@@ -34,12 +35,16 @@
     DecisionReply,
     DecisionRequest,
     Denial,
+    FleetUpdate,
     FleetUpdateRequest,
     RouterHeartbeat,
     RouterHeartbeatReply,
 )
 from orchidpath.wire.records import WorkerRecord
 
+TICK_PERIOD_SECONDS = 0.05
+"""Time between two looks at what only time changes."""
+
 CIRCUITS_PUSH_SECONDS = 0.2
 """Changed circuits are pushed to the routers at most this often."""
 
@@ -100,16 +105,26 @@
             self.circuits.apply_circuit(circuit, now)
         for capacity in state.capacities():
             self.circuits.apply_capacity(capacity, now)
+        self.plan_driver = PlanDriver(term, state, self._in_flight)
         self._adopted: dict[str, int] = {}
         self._pushed: dict[str, int] = {}
         self._pending_decisions: list[_PendingDecision] = []
         self._circuits_sequence = 0
         self._circuits_dirty = True
+        self._next_tick = now
+        self._pushed_revision = 0
         self._next_circuits_push = now
         self._next_circuits_repeat = now + CIRCUITS_REPEAT_SECONDS
 
     def tick(self, now: float) -> None:
-        """Propose what silence asks for, advance the confirmation and push changed circuits."""
+        """Propose what silence asks for, advance the confirmation and push changed circuits.
+
+        A busy leader has thousands of turns a second; what looks at every worker and router is
+        done once a ``TICK_PERIOD_SECONDS``.
+        """
+        if now < self._next_tick:
+            return
+        self._next_tick = now + TICK_PERIOD_SECONDS
         workers = {worker.worker_id: worker.incarnation for worker in self._state.workers()}
         for worker_id, incarnation, sequence in self._liveness.silent_workers(workers, now):
             gone = WorkerGone(worker_id=worker_id, incarnation=incarnation, sequence=sequence)
@@ -119,6 +134,9 @@
         for router_id in self._liveness.silent_routers(router_ids, now):
             self.proposals.append(RemoveRouter(router_id=router_id))
         self._advance_confirmation(now)
+        self.plan_driver.tick(self.confirmation.confirmed_revision, now)
+        self.outbox.extend(self.plan_driver.take_orders())
+        self.proposals.extend(self.plan_driver.take_proposals())
         self._push_circuits(now)
         self._pending_decisions = [
             pending
@@ -211,14 +229,26 @@
             self._revision_changed(now)
 
     def push_updates(self) -> None:
-        """Push the newest revision to every router that was heard and not sent it yet."""
+        """Push the newest revision to every router that was heard and not sent it yet.
+
+        A router that is heard for the first time asks by itself when it lacks something.
+        """
         revision = self._state.revision
+        if revision == self._pushed_revision:
+            return
+        self._pushed_revision = revision
+        updates: dict[int, FleetUpdate] = {}
         for router_id, adopted in self._adopted.items():
             known = max(adopted, self._pushed.get(router_id, 0))
             if known >= revision:
                 continue
             self._pushed[router_id] = revision
-            self.outbox.append(SendToNode(router_id, self._state.update_since(known)))
+            if known not in updates:
+                updates[known] = self._state.update_since(known)
+            self.outbox.append(SendToNode(router_id, updates[known]))
+
+    def _in_flight(self, now: float) -> dict[str, int]:
+        return {view.worker_id: view.in_flight for view in self.circuits.view(now)}
 
     def _revision_changed(self, now: float) -> None:
         self.confirmation.revision_committed(self._state.revision, current_roster(self._state))
--- a/src/orchidpath/control/operator_bodies.py
+++ b/src/orchidpath/control/operator_bodies.py
@@ -80,6 +80,8 @@
     NO_LEADER = "no_leader"
     NOT_READY = "not_ready"
     UNKNOWN_ORDER = "unknown_order"
+    PLAN_STALE = "plan_stale"
+    PLAN_REFUSED = "plan_refused"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     TOO_LARGE = "too_large"
--- a/src/orchidpath/control/operator_client.py
+++ b/src/orchidpath/control/operator_client.py
@@ -20,6 +20,13 @@
     Taken,
     WorkersBody,
 )
+from orchidpath.control.plan_bodies import (
+    PlanBody,
+    PlanErrorBody,
+    PlanOrderBody,
+    PlanOrderReplyBody,
+)
+from orchidpath.wire.messages import PlanAction
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 """Bound on connecting to one control process."""
@@ -46,6 +53,14 @@
         self.body = body
 
 
+class PlanRefusedError(OrchidpathError):
+    """An order about a plan was refused and changed nothing."""
+
+    def __init__(self, body: PlanErrorBody) -> None:
+        super().__init__(body.error.message)
+        self.body = body
+
+
 class OrderNotTakenError(OrchidpathError):
     """An order reached no control process that could take it; nothing changed."""
 
@@ -168,6 +183,45 @@
             raise OrderOutcomeUnknownError("; ".join(failures))
         raise OrderNotTakenError("; ".join(failures))
 
+    async def plan(self) -> PlanBody:
+        """Return what would move now, and the newest plan that was started."""
+        return await self._get("/v1/plan", PlanBody)
+
+    async def order_plan(
+        self, action: PlanAction, plan_id: str, order_id: str
+    ) -> PlanOrderReplyBody:
+        """Confirm, halt, resume or cancel a plan; the order id makes it safe to repeat.
+
+        Raises
+        ------
+        PlanRefusedError
+            The order was refused; nothing changed.
+        OrderNotTakenError
+            No process could take it; nothing changed.
+        OrderOutcomeUnknownError
+            At least one process may have taken it.
+        """
+        content = msgspec.json.encode(PlanOrderBody(plan_id=plan_id, order_id=order_id))
+        may_be_taken = False
+        failures: list[str] = []
+        for address in self._addresses:
+            try:
+                answer = await self._exchange(address, "POST", f"/v1/plan/{action}", content)
+                if answer.status == _OK:
+                    return _decode(answer.body, PlanOrderReplyBody)
+                refusal = _decode(answer.body, PlanErrorBody)
+            except _AnswerError as error:
+                may_be_taken = may_be_taken or error.sent
+                failures.append(f"{address}: {error}")
+                continue
+            if answer.status < 500:
+                raise PlanRefusedError(refusal)
+            may_be_taken = may_be_taken or refusal.error.taken is not Taken.NO
+            failures.append(f"{address}: {answer.status} {refusal.error.message}")
+        if may_be_taken:
+            raise OrderOutcomeUnknownError("; ".join(failures))
+        raise OrderNotTakenError("; ".join(failures))
+
     async def _status_of(self, address: str) -> StatusBody | None:
         try:
             return await self._get_from(address, "/v1/status", StatusBody)
--- /dev/null
+++ b/src/orchidpath/control/plan_api.py
@@ -0,0 +1,182 @@
+"""The operators' HTTP API for plans, served by every control process.
+
+- ``GET /v1/plan``: what would move now, and the newest plan with its progress.
+- ``POST /v1/plan/confirm``, ``halt``, ``resume``, ``cancel``: orders about a plan.
+
+The preview is computed from agreed state alone, so every control process answers the same one.
+"""
+
+import abc
+import asyncio
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from orchidpath.control.operator_api import BODY_TIMEOUT_SECONDS, UnavailableError
+from orchidpath.control.operator_bodies import OperatorError, OperatorErrorCode, Taken
+from orchidpath.control.plan_bodies import (
+    PlanBody,
+    PlanErrorBody,
+    PlanOrderBody,
+    PlanOrderReplyBody,
+    PlanOrderResult,
+    decode_plan_order,
+)
+from orchidpath.placement.planner import PlanPreview, make_preview
+from orchidpath.state.machine import FleetState
+from orchidpath.wire.messages import PlanAction, PlanOrderAnswer
+
+RETRY_AFTER_SECONDS = 1
+"""When to come back after no leader answered."""
+
+_log = structlog.get_logger(__name__)
+
+
+class PlanAccess(abc.ABC):
+    """What the API for plans needs of its control process."""
+
+    @abc.abstractmethod
+    async def order_plan(self, order_id: str, action: PlanAction, plan_id: str) -> PlanOrderResult:
+        """Take an order about a plan and wait, for a bounded time, for its outcome.
+
+        NOT_TAKEN only if the order can never take effect any more.
+        """
+
+    @abc.abstractmethod
+    async def read_state(self) -> FleetState:
+        """Return a state that holds everything confirmed before the call (linearizable).
+
+        Raises
+        ------
+        UnavailableError
+            No leader confirmed the read in time.
+        """
+
+
+def add_plan_routes(app: web.Application, access: PlanAccess) -> None:
+    """Add the endpoints to the operators' application, which turns exceptions into errors."""
+    api = _PlanApi(access)
+    app.router.add_get("/v1/plan", api.get_plan)
+    app.router.add_post("/v1/plan/confirm", api.post_confirm)
+    app.router.add_post("/v1/plan/halt", api.post_halt)
+    app.router.add_post("/v1/plan/resume", api.post_resume)
+    app.router.add_post("/v1/plan/cancel", api.post_cancel)
+
+
+class _PlanApi:
+    """Handlers of the endpoints."""
+
+    def __init__(self, access: PlanAccess) -> None:
+        self._access = access
+        self._newest: PlanPreview | None = None
+
+    async def get_plan(self, request: web.Request) -> web.Response:
+        """``GET /v1/plan``: 200 ``{"preview", "newest"}``; 503 without a leader."""
+        state = await self._access.read_state()
+        return _json(PlanBody(preview=self._preview_of(state), newest=state.plan))
+
+    async def post_confirm(self, request: web.Request) -> web.Response:
+        """``POST /v1/plan/confirm``: let a plan run; see `_order` for the answers."""
+        return await self._order(request, PlanAction.CONFIRM)
+
+    async def post_halt(self, request: web.Request) -> web.Response:
+        """``POST /v1/plan/halt``: begin no further step."""
+        return await self._order(request, PlanAction.HALT)
+
+    async def post_resume(self, request: web.Request) -> web.Response:
+        """``POST /v1/plan/resume``: let a halted plan go on."""
+        return await self._order(request, PlanAction.RESUME)
+
+    async def post_cancel(self, request: web.Request) -> web.Response:
+        """``POST /v1/plan/cancel``: end a plan."""
+        return await self._order(request, PlanAction.CANCEL)
+
+    async def _order(self, request: web.Request, action: PlanAction) -> web.Response:
+        """``POST /v1/plan/{action}`` with ``{"plan_id", "order_id"}``.
+
+        - 200: taken. The same order again gets its first outcome.
+        - 409 ``plan_stale`` with the ``preview`` that holds now, or ``order_id_reused``.
+        - 422 ``plan_refused`` with the reason.
+        - 503 ``no_leader``; ``taken`` is ``no`` or ``unknown``.
+        """
+        body = decode_plan_order(await _read_body(request))
+        try:
+            result = await self._access.order_plan(body.order_id, action, body.plan_id)
+        except Exception as error:
+            # The order may already be in the log, so nothing may be promised about it.
+            _log.exception("plan_order_failed", order_id=body.order_id, error=str(error))
+            reason = "the order failed inside the server"
+            result = PlanOrderResult(answer=PlanOrderAnswer.UNKNOWN, reason=reason)
+        return await self._response(body, action, result)
+
+    async def _response(
+        self, body: PlanOrderBody, action: PlanAction, result: PlanOrderResult
+    ) -> web.Response:
+        match result.answer:
+            case PlanOrderAnswer.ACCEPTED:
+                reply = PlanOrderReplyBody(
+                    plan_id=body.plan_id, order_id=body.order_id, action=action
+                )
+                return _json(reply)
+            case PlanOrderAnswer.STALE:
+                message = "this is not what would be done now; nothing changed"
+                preview = await self._preview()
+                return _error(409, OperatorErrorCode.PLAN_STALE, message, body, preview=preview)
+            case PlanOrderAnswer.ORDER_ID_REUSED:
+                message = "the order id was taken by another order; nothing changed"
+                return _error(409, OperatorErrorCode.ORDER_ID_REUSED, message, body)
+            case PlanOrderAnswer.REFUSED:
+                return _error(422, OperatorErrorCode.PLAN_REFUSED, result.reason, body)
+            case PlanOrderAnswer.NOT_TAKEN | PlanOrderAnswer.UNKNOWN:
+                lost = result.answer is PlanOrderAnswer.UNKNOWN
+                taken = Taken.UNKNOWN if lost else Taken.NO
+                code = OperatorErrorCode.NO_LEADER
+                response = _error(503, code, result.reason, body, taken=taken)
+                response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+                return response
+
+    async def _preview(self) -> PlanPreview | msgspec.UnsetType:
+        try:
+            state = await self._access.read_state()
+        except UnavailableError:
+            return msgspec.UNSET  # the refusal stands without it
+        return self._preview_of(state)
+
+    def _preview_of(self, state: FleetState) -> PlanPreview:
+        """Return the preview of a state, computed once for each revision: it is a long step."""
+        if self._newest is None or self._newest.plan.revision != state.revision:
+            self._newest = make_preview(state.view())
+        return self._newest
+
+
+async def _read_body(request: web.Request) -> bytes:
+    """Return a request's body, for which the wait is bounded."""
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+            return await request.read()
+    except TimeoutError as error:
+        raise web.HTTPRequestTimeout from error
+
+
+def _error(
+    status: int,
+    code: OperatorErrorCode,
+    message: str,
+    order: PlanOrderBody,
+    *,
+    taken: Taken | msgspec.UnsetType = msgspec.UNSET,
+    preview: PlanPreview | msgspec.UnsetType = msgspec.UNSET,
+) -> web.Response:
+    body = PlanErrorBody(
+        error=OperatorError(code=code, message=message, taken=taken),
+        order_id=order.order_id,
+        preview=preview,
+    )
+    return _json(body, status=status)
+
+
+def _json(body: msgspec.Struct, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/src/orchidpath/control/plan_bodies.py
@@ -0,0 +1,72 @@
+"""JSON bodies of the operators' API for plans."""
+
+import msgspec
+
+from orchidpath.control.operator_bodies import (
+    MAX_ID_CHARACTERS,
+    MalformedRequestError,
+    OperatorError,
+)
+from orchidpath.placement.planner import PlanPreview
+from orchidpath.state.plans import PlanRecord
+from orchidpath.wire.messages import PlanAction, PlanOrderAnswer
+
+
+class PlanBody(msgspec.Struct, frozen=True, kw_only=True):
+    """What would move now, and the newest plan that was started with its progress."""
+
+    preview: PlanPreview
+    newest: PlanRecord | None = None
+
+
+class PlanOrderBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Body of ``POST /v1/plan/{action}``."""
+
+    plan_id: str
+    order_id: str
+
+
+class PlanOrderReplyBody(msgspec.Struct, frozen=True, kw_only=True):
+    """An order about a plan was taken."""
+
+    plan_id: str
+    order_id: str
+    action: PlanAction
+
+
+class PlanOrderResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of an order about a plan, and why."""
+
+    answer: PlanOrderAnswer
+    reason: str = ""
+
+
+class PlanErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """An error of the operators' API; ``preview`` is the plan that would be made now."""
+
+    error: OperatorError
+    order_id: str | msgspec.UnsetType = msgspec.UNSET
+    preview: PlanPreview | msgspec.UnsetType = msgspec.UNSET
+
+
+_order_decoder = msgspec.json.Decoder(PlanOrderBody)
+
+
+def decode_plan_order(raw: bytes) -> PlanOrderBody:
+    """Return the body of an order about a plan.
+
+    Raises
+    ------
+    MalformedRequestError
+        The body has not the documented form.
+    """
+    try:
+        body = _order_decoder.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        raise MalformedRequestError(str(error)) from error
+    for name in ("plan_id", "order_id"):
+        value = getattr(body, name)
+        if not 0 < len(value) <= MAX_ID_CHARACTERS or not value.isprintable():
+            message = f"{name} must be 1 to {MAX_ID_CHARACTERS} printable characters"
+            raise MalformedRequestError(message)
+    return body
--- /dev/null
+++ b/src/orchidpath/control/plan_driver.py
@@ -0,0 +1,187 @@
+"""Drives the plan that runs: turns its next actions into proposals and fenced orders; pure.
+
+One object per leadership, asked on the ticks of a leader that holds its lease. What it remembers
+is soft: a successor begins from the replicated phases (docs/design/plans.md, "Execution").
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from orchidpath.control.effects import SendWorkerOrder
+from orchidpath.placement.execution import (
+    ORDER_REPEAT_SECONDS,
+    Advance,
+    PlanSituation,
+    SendStepOrder,
+    StepWatch,
+    Stop,
+    next_actions,
+    workers_to_resume,
+)
+from orchidpath.state.commands import AdvanceStep, Command, StopPlan
+from orchidpath.state.machine import FleetState
+from orchidpath.state.plans import PlanRecord, StepPhase
+from orchidpath.wire.backend import OrderKind, WorkerOrder, WorkerOrderReply
+from orchidpath.wire.records import Stage, WorkerRecord
+
+PLAN_PERIOD_SECONDS = 0.1
+"""Time between two looks at the plan."""
+
+REPEAT_PROPOSAL_SECONDS = 1.0
+"""A proposal that has not been applied is made again after this long."""
+
+
+class _Watched(msgspec.Struct):
+    """A step's phase as this leadership sees it, and the first order that may belong to it."""
+
+    phase: StepPhase
+    first_sequence: int
+    watch: StepWatch
+
+
+class PlanDriver:
+    """Follows the newest plan.
+
+    Parameters
+    ----------
+    term
+        Term of this leadership; with a sequence that only grows it fences every order.
+    state
+        The replicated state.
+    in_flight
+        Returns the attempts in flight by worker as the leader counts them at a time.
+    """
+
+    def __init__(
+        self, term: int, state: FleetState, in_flight: Callable[[float], Mapping[str, int]]
+    ) -> None:
+        self._term = term
+        self._state = state
+        self._in_flight = in_flight
+        self._sequence = 0
+        self._plan_id = ""
+        self._watched: dict[int, _Watched] = {}
+        self._proposed: dict[Command, float] = {}
+        self._resumed_at: dict[str, float] = {}
+        self._next_look = float("-inf")
+        self._orders: list[SendWorkerOrder] = []
+        self._proposals: list[Command] = []
+
+    def tick(self, confirmed_revision: int, now: float) -> None:
+        """Look at the plan and do what is due.
+
+        The caller has checked that this leader holds its lease at ``now``.
+        """
+        record = self._state.plan
+        if record is None or now < self._next_look:
+            return
+        self._next_look = now + PLAN_PERIOD_SECONDS
+        workers = {worker.worker_id: worker for worker in self._state.workers()}
+        self._resume_abandoned(workers, now)
+        if record.active:
+            self._follow(record, workers, confirmed_revision, now)
+
+    def order_answered(self, order: WorkerOrder, reply: WorkerOrderReply) -> None:
+        """Note that a worker accepted an order that belongs to its step's present phase."""
+        record = self._state.plan
+        if record is None or order.term != self._term or not reply.accepted:
+            return
+        for position, step in enumerate(record.plan.steps):
+            watched = self._watched.get(position)
+            if watched is None or step.worker_id != order.worker_id:
+                continue
+            current = record.progress.steps[position].phase is watched.phase
+            if current and order.sequence >= watched.first_sequence:
+                watched.watch = msgspec.structs.replace(watched.watch, accepted=order.kind)
+
+    def take_orders(self) -> list[SendWorkerOrder]:
+        """Return the orders to send, once."""
+        orders, self._orders = self._orders, []
+        return orders
+
+    def take_proposals(self) -> list[Command]:
+        """Return the commands to propose, once."""
+        proposals, self._proposals = self._proposals, []
+        return proposals
+
+    def _follow(
+        self,
+        record: PlanRecord,
+        workers: Mapping[str, WorkerRecord],
+        confirmed_revision: int,
+        now: float,
+    ) -> None:
+        self._watch(record, now)
+        draining = any(step.phase is StepPhase.DRAINING for step in record.progress.steps)
+        situation = PlanSituation(
+            workers=workers,
+            in_flight=self._in_flight(now) if draining else {},
+            confirmed_revision=confirmed_revision,
+            watches=[self._watched[position].watch for position in range(len(record.plan.steps))],
+            now=now,
+        )
+        for action in next_actions(record, situation):
+            match action:
+                case Advance():
+                    self._propose(_advance_command(record, action), now)
+                case Stop():
+                    self._propose(StopPlan(plan_id=self._plan_id, reason=action.reason), now)
+                case SendStepOrder():
+                    self._order_step(record, action, now)
+
+    def _resume_abandoned(self, workers: Mapping[str, WorkerRecord], now: float) -> None:
+        for worker in workers_to_resume(self._state.abandoned_workers(), workers):
+            last = self._resumed_at.get(worker.worker_id, float("-inf"))
+            if now - last >= ORDER_REPEAT_SECONDS:
+                self._resumed_at[worker.worker_id] = now
+                self._order(worker, OrderKind.RESUME, None)
+
+    def _watch(self, record: PlanRecord, now: float) -> None:
+        """Begin to watch each step anew whose phase has changed."""
+        if record.plan.plan_id != self._plan_id:
+            self._plan_id = record.plan.plan_id
+            self._watched.clear()
+            self._proposed.clear()
+        for position, progress in enumerate(record.progress.steps):
+            watched = self._watched.get(position)
+            if watched is None or watched.phase is not progress.phase:
+                self._watched[position] = _Watched(
+                    progress.phase, self._sequence + 1, StepWatch(since=now)
+                )
+
+    def _propose(self, command: Command, now: float) -> None:
+        if now - self._proposed.get(command, float("-inf")) < REPEAT_PROPOSAL_SECONDS:
+            return
+        self._proposed[command] = now
+        self._proposals.append(command)
+
+    def _order_step(self, record: PlanRecord, action: SendStepOrder, now: float) -> None:
+        entry = self._state.find_worker(record.plan.steps[action.step].worker_id)
+        if entry is None:
+            return
+        watched = self._watched[action.step]
+        watched.watch = msgspec.structs.replace(watched.watch, ordered_at=now)
+        self._order(entry.record, action.kind, action.stage)
+
+    def _order(self, worker: WorkerRecord, kind: OrderKind, stage: Stage | None) -> None:
+        self._sequence += 1
+        order = WorkerOrder(
+            term=self._term,
+            sequence=self._sequence,
+            worker_id=worker.worker_id,
+            incarnation=worker.incarnation,
+            kind=kind,
+            stage=stage,
+        )
+        self._orders.append(SendWorkerOrder(worker.url, order))
+
+
+def _advance_command(record: PlanRecord, action: Advance) -> AdvanceStep:
+    return AdvanceStep(
+        plan_id=record.plan.plan_id,
+        step=action.step,
+        expected=action.expected,
+        phase=action.phase,
+        reason=action.reason,
+    )
--- /dev/null
+++ b/src/orchidpath/control/plan_orders.py
@@ -0,0 +1,84 @@
+"""Operators' orders about plans on their way through the log until they are answered; pure.
+
+Every order goes through the log, refusals included, so that its id always gets its first outcome
+(docs/design/plans.md, "Orders about plans").
+"""
+
+import msgspec
+
+from orchidpath.consensus.types import LogEntry
+from orchidpath.control.effects import PlanAnswered
+from orchidpath.placement.planner import make_preview
+from orchidpath.state.commands import (
+    CancelPlan,
+    HaltPlan,
+    PlanOrderCommand,
+    ResumePlan,
+    StartPlan,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import PlanResult
+from orchidpath.state.plans import Plan
+from orchidpath.wire.messages import PlanAction, PlanOrderAnswer, PlanOrderRequest
+
+
+class _Proposed(msgspec.Struct, frozen=True):
+    key: int
+    term: int
+
+
+class PlanOrderBook:
+    """Orders about plans that this replica has proposed and not answered yet."""
+
+    def __init__(self) -> None:
+        self._proposed: dict[int, _Proposed] = {}
+
+    def not_taken(self, key: int) -> PlanAnswered:
+        """Answer an order that was never proposed."""
+        return PlanAnswered(key, PlanOrderAnswer.NOT_TAKEN, "this process does not lead")
+
+    def proposed(self, key: int, index: int, term: int) -> None:
+        """Follow an order that was proposed at a log index."""
+        self._proposed[index] = _Proposed(key, term)
+
+    def applied(self, entry: LogEntry, result: PlanResult) -> list[PlanAnswered]:
+        """Take the outcome of the order at a log entry."""
+        proposed = self._proposed.pop(entry.index, None)
+        if proposed is None:
+            return []
+        if proposed.term != entry.term:
+            # Another leader's entry took this index, so the order never will be in the log.
+            return [PlanAnswered(proposed.key, PlanOrderAnswer.NOT_TAKEN, "leadership was lost")]
+        answer = PlanOrderAnswer(result.answer.value)
+        return [PlanAnswered(proposed.key, answer, result.reason)]
+
+    def leadership_lost(self) -> list[PlanAnswered]:
+        """Answer everything at once: a follower cannot tell what becomes of it."""
+        answers = [
+            PlanAnswered(order.key, PlanOrderAnswer.UNKNOWN, "leadership was lost")
+            for order in self._proposed.values()
+        ]
+        self._proposed.clear()
+        return answers
+
+
+def plan_command(order: PlanOrderRequest, state: FleetState) -> PlanOrderCommand:
+    """Return the command that an order about a plan puts into the log."""
+    match order.action:
+        case PlanAction.CONFIRM:
+            plan = _plan_of_id(order.plan_id, state)
+            return StartPlan(order_id=order.order_id, plan_id=order.plan_id, plan=plan)
+        case PlanAction.HALT:
+            return HaltPlan(order_id=order.order_id, plan_id=order.plan_id)
+        case PlanAction.RESUME:
+            return ResumePlan(order_id=order.order_id, plan_id=order.plan_id)
+        case PlanAction.CANCEL:
+            return CancelPlan(order_id=order.order_id, plan_id=order.plan_id)
+
+
+def _plan_of_id(plan_id: str, state: FleetState) -> Plan | None:
+    """Return the plan that would be made now if it has this id."""
+    if state.plan is not None and state.plan.active:
+        return None  # refused whatever it is, so it need not be computed
+    plan = make_preview(state.view()).plan
+    return plan if plan.steps and plan.plan_id == plan_id else None
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -22,15 +22,20 @@
 from orchidpath.control.effects import (
     ControlEffect,
     OrderAnswered,
+    PlanAnswered,
     ReadFailed,
     ReadReady,
     SendToMember,
     SendToNode,
+    SendWorkerOrder,
 )
 from orchidpath.control.formation import NoAnswerError, ask_who_is_control, may_form_fleet
 from orchidpath.control.member_manager import MemberPolicy
 from orchidpath.control.operator_api import create_operator_app
+from orchidpath.control.plan_api import add_plan_routes
 from orchidpath.control.runner import CoreRunner
+from orchidpath.control.worker_orders import WorkerOrderSender
+from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
 from orchidpath.wire.connection import Connection, Listener
 from orchidpath.wire.faults import LinkFaults, watch_fault_file
 from orchidpath.wire.messages import (
@@ -115,6 +120,7 @@
             self._new_core(restored, None), self._storage, self._clock, self._execute, self._synced
         )
         self._access = LocalControlAccess(self._runner, self._clock, self._send_to_leader)
+        self._worker_orders = WorkerOrderSender(self._worker_order_answered)
         self._faults = LinkFaults() if self._settings.fault_file else None
         self._listener = Listener(
             self._settings.wire_address,
@@ -140,6 +146,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._worker_orders.close()
         await self._links.close()
         await self._listener.close()
         await self._http_runner.cleanup()
@@ -166,6 +173,7 @@
 
     async def _start_http(self) -> None:
         app = create_operator_app(self._access, self.metrics.registry)
+        add_plan_routes(app, self._access)
         self._http_runner = web.AppRunner(app, access_log=None)
         await self._http_runner.setup()
         host, port = self._settings.http_address.rsplit(":", 1)
@@ -276,8 +284,10 @@
                     self._send_to_incoming(effect.node_id, effect.message)
             case SendToNode():
                 self._send_to_incoming(effect.node_id, effect.message)
-            case OrderAnswered() | ReadReady() | ReadFailed():
+            case OrderAnswered() | ReadReady() | ReadFailed() | PlanAnswered():
                 self._access.answered(effect.key, effect)
+            case SendWorkerOrder():
+                self._worker_orders.send(effect.url, effect.order)
             case LeadershipChanged():
                 self._logger.info(
                     "leadership_changed",
@@ -288,6 +298,10 @@
             case _:
                 raise AssertionError(f"{type(effect).__name__} is a record")
 
+    def _worker_order_answered(self, order: WorkerOrder, reply: WorkerOrderReply | None) -> None:
+        runner = self._runner
+        runner.post(lambda now: runner.core.worker_order_answered(order, reply, now))
+
     def _send_to_incoming(self, node_id: str, message: Message) -> None:
         connection = self._incoming.get(node_id)
         if connection is not None:
--- /dev/null
+++ b/src/orchidpath/control/worker_orders.py
@@ -0,0 +1,62 @@
+"""Sends workers their orders over HTTP and hands the answers back.
+
+A lost order or answer does no harm: the order is repeated with a higher sequence, and the worker's
+fence refuses whatever arrives late (docs/design/plans.md).
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
+
+WORKER_ORDER_TIMEOUT_SECONDS = 2.0
+"""Bound on a worker's answer to an order."""
+
+ORDERS_PATH = "/v1/orders"
+
+AnswerHandler = Callable[[WorkerOrder, WorkerOrderReply | None], None]
+
+
+class WorkerOrderSender:
+    """Posts orders, each in a task of its own.
+
+    Parameters
+    ----------
+    on_answer
+        Told each order's answer, or None when there was none in time.
+    """
+
+    def __init__(self, on_answer: AnswerHandler) -> None:
+        self._on_answer = on_answer
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, url: str, order: WorkerOrder) -> None:
+        """Send an order to the worker at a base address; returns at once."""
+        task = asyncio.create_task(self._post(url, order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Give up every order that is on its way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _post(self, url: str, order: WorkerOrder) -> None:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=WORKER_ORDER_TIMEOUT_SECONDS)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        reply: WorkerOrderReply | None = None
+        try:
+            content = msgspec.json.encode(order)
+            async with self._session.post(f"{url}{ORDERS_PATH}", data=content) as response:
+                reply = msgspec.json.decode(await response.read(), type=WorkerOrderReply)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError, ValueError):
+            reply = None  # the driver repeats the order until it has had its effect
+        self._on_answer(order, reply)
--- a/src/orchidpath/state/commands.py
+++ b/src/orchidpath/state/commands.py
@@ -10,6 +10,7 @@
 
 from orchidpath.circuit.transitions import CapacityTransition, CircuitTransition
 from orchidpath.common.errors import OrchidpathError
+from orchidpath.state.plans import Plan, StepPhase
 from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.records import ControlMember, RouterRecord, WorkerRecord
 
@@ -117,6 +118,62 @@
     revision: int
 
 
+class StartPlan(msgspec.Struct, frozen=True, kw_only=True, tag="start_plan"):
+    """An operator confirms a plan; it starts only if nothing that it was computed from changed.
+
+    Without ``plan``, the leader knows none of that id: the refusal is logged all the same, so that
+    a repetition that arrives late can't start a plan that its operator was told is refused.
+    """
+
+    order_id: str
+    plan_id: str
+    plan: Plan | None = None
+
+
+class HaltPlan(msgspec.Struct, frozen=True, kw_only=True, tag="halt_plan"):
+    """An operator wants no further step to begin."""
+
+    order_id: str
+    plan_id: str
+
+
+class ResumePlan(msgspec.Struct, frozen=True, kw_only=True, tag="resume_plan"):
+    """An operator lets a halted plan go on."""
+
+    order_id: str
+    plan_id: str
+
+
+class CancelPlan(msgspec.Struct, frozen=True, kw_only=True, tag="cancel_plan"):
+    """An operator ends a plan: workers that have not been switched keep their part."""
+
+    order_id: str
+    plan_id: str
+
+
+class AdvanceStep(msgspec.Struct, frozen=True, kw_only=True, tag="advance_step"):
+    """The leader advances a step from the phase ``expected``; ``reason`` if it was given up.
+
+    The hold on the worker changes with the phase, in the same entry.
+    """
+
+    plan_id: str
+    step: int
+    expected: StepPhase
+    phase: StepPhase
+    reason: str = ""
+
+
+class StopPlan(msgspec.Struct, frozen=True, kw_only=True, tag="stop_plan"):
+    """The leader ends a plan that can't be followed any more."""
+
+    plan_id: str
+    reason: str
+
+
+PlanOrderCommand = StartPlan | HaltPlan | ResumePlan | CancelPlan
+"""An operator's order about a plan."""
+
 Command = (
     SubmitConfiguration
     | RegisterRouter
@@ -130,6 +187,12 @@
     | RemoveControlMember
     | LeaderStarted
     | RevisionConfirmed
+    | StartPlan
+    | HaltPlan
+    | ResumePlan
+    | CancelPlan
+    | AdvanceStep
+    | StopPlan
 )
 """Any command of the replicated log."""
 
--- a/src/orchidpath/state/machine.py
+++ b/src/orchidpath/state/machine.py
@@ -13,16 +13,22 @@
 from orchidpath.state.changes import ChangeLog
 from orchidpath.state.circuits import AgreedCircuits
 from orchidpath.state.commands import (
+    AdvanceStep,
+    CancelPlan,
     CapacityChanged,
     CircuitChanged,
     Command,
+    HaltPlan,
     HoldWorker,
     LeaderStarted,
     RegisterControlMember,
     RegisterRouter,
     RemoveControlMember,
     RemoveRouter,
+    ResumePlan,
     RevisionConfirmed,
+    StartPlan,
+    StopPlan,
     SubmitConfiguration,
     WorkerChanged,
     WorkerGone,
@@ -42,6 +48,8 @@
     Outcome,
     RecordResult,
 )
+from orchidpath.state.plan_book import PlanBook
+from orchidpath.state.plans import AbandonedWorker, PlanOrderRecord, PlanRecord
 from orchidpath.state.snapshot import (
     ConfigurationEntry,
     SnapshotBody,
@@ -99,6 +107,7 @@
         self._witnesses = WitnessHistory(body.witness_sets)
         self._circuits = AgreedCircuits(body.circuits, body.capacities, body.circuits_sequence)
         self._control_members = {member.node_id: member for member in body.control_members}
+        self._plans = PlanBook(body.plan, body.plan_orders, body.plan_abandoned)
         self._changes = ChangeLog()
         self._view: FleetView | None = None
 
@@ -134,6 +143,9 @@
                 circuits=list(self.circuits()),
                 capacities=list(self.capacities()),
                 control_members=list(self.control_members()),
+                plan=self._plans.record,
+                plan_orders=self._plans.orders(),
+                plan_abandoned=self._plans.abandoned(),
             )
         )
 
@@ -245,6 +257,19 @@
         """Return the agreed capacity circuits, by failure domain."""
         return tuple(self._circuits.capacities())
 
+    @property
+    def plan(self) -> PlanRecord | None:
+        """The newest plan that was started, running or over."""
+        return self._plans.record
+
+    def abandoned_workers(self) -> list[AbandonedWorker]:
+        """Return the workers that plans have abandoned, oldest first."""
+        return self._plans.abandoned()
+
+    def find_plan_order(self, order_id: str) -> PlanOrderRecord | None:
+        """Return the order about a plan that was taken under an id, with its first outcome."""
+        return self._plans.find_order(order_id)
+
     @property
     def witnesses(self) -> tuple[str, ...]:
         """Ids of the routers that are witnesses now."""
@@ -306,6 +331,10 @@
                 return RecordResult(effect=self._change_members(command))
             case LeaderStarted() | RevisionConfirmed():
                 return RecordResult(effect=self._record_progress(command))
+            case StartPlan() | HaltPlan() | ResumePlan() | CancelPlan():
+                return self._plans.order(command, self._configuration_version, self.workers())
+            case AdvanceStep() | StopPlan():
+                return RecordResult(effect=self._follow_plan(command))
             case _:
                 assert_never(command)
 
@@ -333,6 +362,7 @@
             ConfigurationEntry(version=version, order_id=order.order_id, digest=order.digest)
         )
         self._advance_revision(None)
+        self._plans.configuration_changed()
         return OrderAccepted(version=version)
 
     def _change_roster(self, command: RegisterRouter | RemoveRouter) -> Effect:
@@ -366,6 +396,16 @@
             self._circuits.forget(self._workers.known)
         return effect
 
+    def _follow_plan(self, command: AdvanceStep | StopPlan) -> Effect:
+        """Stop a plan, or advance a step and hold or release its worker with it."""
+        if isinstance(command, StopPlan):
+            return self._plans.stop(command)
+        advanced = self._plans.advance(command, self.workers(), self._revision + 1)
+        if advanced.hold is not None:
+            hold = HoldWorker(worker_id=advanced.hold.worker_id, held=advanced.hold.held)
+            self._change_worker(hold)
+        return advanced.effect
+
     def _agreed_worker(self, worker_id: str) -> WorkerRecord | None:
         entry = self._workers.find(worker_id)
         return None if entry is None else entry.record
--- a/src/orchidpath/state/outcomes.py
+++ b/src/orchidpath/state/outcomes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from orchidpath.state.plans import PlanAnswer
 from orchidpath.wire.records import CapacityRecord, CircuitRecord
 
 
@@ -80,7 +81,15 @@
     record: CapacityRecord | None = None
 
 
-Outcome = OrderResult | RecordResult | CircuitResult | CapacityResult
+class PlanResult(msgspec.Struct, frozen=True, kw_only=True, tag="plan"):
+    """Outcome of an operator's order about a plan; ``repeated`` if it was taken before."""
+
+    answer: PlanAnswer
+    reason: str = ""
+    repeated: bool = False
+
+
+Outcome = OrderResult | RecordResult | CircuitResult | CapacityResult | PlanResult
 """Outcome of any command."""
 
 
--- /dev/null
+++ b/src/orchidpath/state/plans.py
@@ -0,0 +1,238 @@
+"""Plans as they are agreed: which workers change their part, and how far each step has come.
+
+A plan is computed by :mod:`orchidpath.placement.planner` and kept here, in the replicated state, so
+that it survives the leader that started it (docs/design/plans.md).
+"""
+
+import hashlib
+from collections.abc import Iterable
+from enum import StrEnum
+
+import msgspec
+
+from orchidpath.wire.records import Stage, WorkerRecord, WorkerStatus
+
+
+class PlanStatus(StrEnum):
+    """How far a plan is; the last three are final."""
+
+    RUNNING = "running"
+    HALTED = "halted"
+    """No further step begins; steps that are open go on to their end."""
+    CANCELLING = "cancelling"
+    STOPPING = "stopping"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    STOPPED = "stopped"
+
+
+FINAL_STATUSES = frozenset({PlanStatus.DONE, PlanStatus.CANCELLED, PlanStatus.STOPPED})
+
+
+class StepPhase(StrEnum):
+    """How far one worker's change is."""
+
+    WAITING = "waiting"
+    HOLDING = "holding"
+    """Held back; some router may not know it yet."""
+    DRAINING = "draining"
+    SWITCHING = "switching"
+    RESUMING = "resuming"
+    """It has announced its new part and is to take requests again."""
+    RELEASED = "released"
+    RETURNING = "returning"
+    """Given up before the change: it is to take requests again in the part it has."""
+    RETURNED = "returned"
+    ABANDONED = "abandoned"
+    """Lost, restarted or silent; what it does now is what it announces."""
+
+
+OPEN_PHASES = frozenset(
+    {
+        StepPhase.HOLDING,
+        StepPhase.DRAINING,
+        StepPhase.SWITCHING,
+        StepPhase.RESUMING,
+        StepPhase.RETURNING,
+    }
+)
+"""Phases in which the worker is held back."""
+
+PHASE_TRANSITIONS: dict[StepPhase, frozenset[StepPhase]] = {
+    StepPhase.WAITING: frozenset({StepPhase.HOLDING}),
+    StepPhase.HOLDING: frozenset({StepPhase.DRAINING, StepPhase.RETURNING, StepPhase.ABANDONED}),
+    StepPhase.DRAINING: frozenset({StepPhase.SWITCHING, StepPhase.RETURNING, StepPhase.ABANDONED}),
+    StepPhase.SWITCHING: frozenset({StepPhase.RESUMING, StepPhase.RETURNING, StepPhase.ABANDONED}),
+    StepPhase.RESUMING: frozenset({StepPhase.RELEASED, StepPhase.ABANDONED}),
+    StepPhase.RETURNING: frozenset({StepPhase.RETURNED, StepPhase.ABANDONED}),
+    StepPhase.RELEASED: frozenset(),
+    StepPhase.RETURNED: frozenset(),
+    StepPhase.ABANDONED: frozenset(),
+}
+"""Where a step may go from each phase."""
+
+
+class PlanStep(msgspec.Struct, frozen=True, kw_only=True):
+    """One worker changes its part; it concerns that incarnation only."""
+
+    worker_id: str
+    incarnation: str
+    service: str
+    from_stage: Stage
+    to_stage: Stage
+
+
+class ServiceBounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds that a plan keeps for one service.
+
+    ``max_held`` workers are held back at once. A step begins only if its stage keeps
+    ``minimum_prefill`` or ``minimum_decode`` serving workers without it. A worker may drain for
+    ``drain_seconds``, which covers the longest request of the service.
+    """
+
+    service: str
+    max_held: int
+    minimum_prefill: int
+    minimum_decode: int
+    drain_seconds: float
+
+    def minimum(self, stage: Stage) -> int:
+        """Return how many serving workers a stage keeps."""
+        return self.minimum_prefill if stage is Stage.PREFILL else self.minimum_decode
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """Which workers change their part, in this order.
+
+    ``basis`` is :func:`basis_digest` of what it was computed from. ``plan_id`` is a digest of the
+    basis, the steps and the bounds, so the same id always means the same plan. ``revision`` tells
+    when it was computed and is not part of the id.
+    """
+
+    plan_id: str
+    configuration_version: int
+    revision: int
+    basis: str
+    steps: tuple[PlanStep, ...]
+    bounds: tuple[ServiceBounds, ...]
+
+    def bounds_of(self, service: str) -> ServiceBounds:
+        """Return the bounds of a service that has steps."""
+        return next(bounds for bounds in self.bounds if bounds.service == service)
+
+
+class StepProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a step is; the hold is part of the view from ``held_revision`` on."""
+
+    phase: StepPhase = StepPhase.WAITING
+    held_revision: int = 0
+    reason: str = ""
+
+
+class PlanProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a plan is, step by step; ``reason`` tells why it halted or stopped."""
+
+    status: PlanStatus
+    steps: tuple[StepProgress, ...]
+    reason: str = ""
+
+
+class PlanRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest plan that was started, and its progress."""
+
+    plan: Plan
+    progress: PlanProgress
+
+    @property
+    def active(self) -> bool:
+        """Whether the plan is not over: until then no other one may start."""
+        return self.progress.status not in FINAL_STATUSES
+
+
+class AbandonedWorker(msgspec.Struct, frozen=True, kw_only=True):
+    """An incarnation that a plan lost sight of; it may come back drained."""
+
+    worker_id: str
+    incarnation: str
+
+
+class PlanAnswer(StrEnum):
+    """What became of an operator's order about a plan."""
+
+    ACCEPTED = "accepted"
+    STALE = "stale"
+    """The plan is not what would be done now."""
+    REFUSED = "refused"
+    ORDER_ID_REUSED = "order_id_reused"
+
+
+class PlanOrderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """An order about a plan that was taken, and its first outcome."""
+
+    order_id: str
+    content: str
+    answer: PlanAnswer
+    reason: str = ""
+
+
+def basis_digest(
+    configuration_version: int, workers: Iterable[WorkerRecord], services: Iterable[str]
+) -> str:
+    """Return the digest of all that a plan for some services depends on.
+
+    Parameters
+    ----------
+    configuration_version
+        Version of the configuration that states the desired counts.
+    workers
+        The agreed workers.
+    services
+        Services that the plan has steps for; workers of others make no difference.
+    """
+    wanted = set(services)
+    records = sorted(
+        (worker for worker in workers if worker.service in wanted),
+        key=lambda worker: worker.worker_id,
+    )
+    content = msgspec.msgpack.encode((configuration_version, records))
+    return hashlib.sha256(content).hexdigest()
+
+
+def is_serving(worker: WorkerRecord) -> bool:
+    """Return whether routers may give a worker new requests."""
+    return worker.status is WorkerStatus.READY and not worker.held
+
+
+def begin_objection(record: PlanRecord, position: int, workers: Iterable[WorkerRecord]) -> str:
+    """Return why a waiting step may not begin, or nothing.
+
+    Checked by the leader before it proposes the step and again when the step is applied, because
+    workers may have been lost in between (docs/design/plans.md, "Bounds").
+    """
+    step = record.plan.steps[position]
+    minimum = record.plan.bounds_of(step.service).minimum(step.from_stage)
+    serving = 0
+    found = False
+    for worker in workers:
+        if worker.service != step.service or worker.stage is not step.from_stage:
+            continue
+        if not is_serving(worker):
+            continue
+        if worker.worker_id == step.worker_id:
+            found = worker.incarnation == step.incarnation
+        else:
+            serving += 1
+    if not found:
+        return f"{step.worker_id} is not what the plan was made for"
+    if serving < minimum:
+        return f"{step.service} would keep {serving} of {minimum} workers for {step.from_stage}"
+    return ""
+
+
+def held_count(record: PlanRecord, service: str) -> int:
+    """Return how many workers of a service a plan holds back now."""
+    return sum(
+        1
+        for step, progress in zip(record.plan.steps, record.progress.steps, strict=True)
+        if step.service == service and progress.phase in OPEN_PHASES
+    )
--- a/src/orchidpath/state/ranges.py
+++ b/src/orchidpath/state/ranges.py
@@ -45,7 +45,11 @@
 _COUNT_OR_NONE = Range(minimum=0, maximum=MAX_COUNT)
 
 _RANGES: dict[type[msgspec.Struct], dict[str, Range]] = {
-    Service: {"prefill_workers": _COUNT_OR_NONE, "decode_workers": _COUNT_OR_NONE},
+    Service: {
+        "prefill_workers": _COUNT_OR_NONE,
+        "decode_workers": _COUNT_OR_NONE,
+        "max_held_workers": _COUNT,
+    },
     Route: {
         "deadline_seconds": _SECONDS,
         "first_token_timeout_seconds": _SECONDS,
--- a/src/orchidpath/state/snapshot.py
+++ b/src/orchidpath/state/snapshot.py
@@ -8,6 +8,7 @@
 
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.state.outcomes import OrderRecord
+from orchidpath.state.plans import AbandonedWorker, PlanOrderRecord, PlanRecord
 from orchidpath.state.witnesses import WitnessSet
 from orchidpath.state.workers import DeadIncarnation, WorkerEntry
 from orchidpath.wire.configuration import Configuration
@@ -61,6 +62,9 @@
     circuits: list[CircuitRecord] = []
     capacities: list[CapacityRecord] = []
     control_members: list[ControlMember] = []
+    plan: PlanRecord | None = None
+    plan_orders: list[PlanOrderRecord] = []
+    plan_abandoned: list[AbandonedWorker] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -22,9 +22,20 @@
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """One service: a pool of workers that can answer the same requests.
 
-    ``prefill_workers`` and ``decode_workers`` are the operator's desired counts; they are only
-    acted on through a confirmed plan. ``max_held_workers`` bounds how many workers a plan
-    holds back at once.
+    Attributes
+    ----------
+    name
+        Name, unique among the services; workers announce it.
+    kind
+        ``model`` (prompt read and decode on two workers) or ``plain`` (one JSON call).
+    models
+        Models that a model service serves.
+    prefill_workers
+        Desired workers for prompt reads; acted on through a confirmed plan only.
+    decode_workers
+        Desired workers for decodes; acted on through a confirmed plan only.
+    max_held_workers
+        How many workers a plan holds back at once, at most.
     """
 
     name: str
@@ -38,10 +49,29 @@
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Which requests go to which service.
 
-    A model route matches ``model`` of a chat completion; a plain route matches ``method`` and
-    ``path`` (a path segment in braces matches any value). ``repeatable`` says whether a call that
-    may have run can be sent again. ``repeat_prompt_read`` lets the prompt of a call that may not
-    be repeated be read again as long as no decode of it can have run.
+    Attributes
+    ----------
+    name
+        Name, unique among the routes; metrics bear it.
+    service
+        Name of the service that answers.
+    model
+        For a model route: the ``model`` of a chat completion that it matches.
+    method
+        For a plain route: the HTTP method that it matches.
+    path
+        For a plain route: the path that it matches; a segment in braces matches any value.
+    repeatable
+        Whether a call that may have run can be sent again.
+    repeat_prompt_read
+        Whether the prompt of a call that may not be repeated can be read again, as long as no
+        decode of it can have run.
+    deadline_seconds
+        Longest time for a whole request; a caller may ask for less.
+    first_token_timeout_seconds
+        Longest wait for a back end's answer, or for the first content of a stream.
+    stall_timeout_seconds
+        Longest wait for the next frame of a stream that has begun.
     """
 
     name: str
@@ -57,7 +87,27 @@
 
 
 class CircuitPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Figures of the circuits (paper, "Circuit breakers and bounded retries"; design page)."""
+    """Figures of the circuits (paper, "Circuit breakers and bounded retries"; design page).
+
+    Attributes
+    ----------
+    allowed_fails
+        Transient failures in a row that open a worker's circuit.
+    cooldown_seconds
+        First cooldown of an opened circuit; each failed probe doubles it, with jitter.
+    max_cooldown_seconds
+        Longest cooldown, also of a capacity circuit.
+    half_open_probe_seconds
+        How long one attempt owns a worker's probe.
+    configuration_cooldown_seconds
+        How long a worker with a configuration failure is quarantined.
+    throttle_cooldown_seconds
+        First time for which a throttled failure domain is left alone.
+    health_window_seconds
+        Window over which a worker's health is counted.
+    in_flight_ttl_seconds
+        After this long without a report an attempt no longer counts as in flight.
+    """
 
     allowed_fails: int = 3
     cooldown_seconds: float = 10.0
@@ -70,7 +120,23 @@
 
 
 class RetryPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Bounds on retries of one request and of a whole service."""
+    """Bounds on retries of one request and of a whole service.
+
+    Attributes
+    ----------
+    max_attempts
+        Attempts of one request, the first included.
+    backoff_base_seconds
+        Upper end of the first random wait before a retry; each retry doubles it.
+    backoff_cap_seconds
+        Upper end of any random wait before a retry.
+    budget_ratio
+        Retries of a service as a share of its requests, at most.
+    budget_window_seconds
+        Window over which that share is counted.
+    budget_minimum_per_second
+        Retries a second that a service may make whatever its traffic, over all routers.
+    """
 
     max_attempts: int = 4
     backoff_base_seconds: float = 0.05
@@ -81,7 +147,19 @@
 
 
 class AdmissionPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Bounds on what one router takes in at once; beyond them it answers at once."""
+    """Bounds on what one router takes in at once; beyond them it answers at once.
+
+    Attributes
+    ----------
+    max_requests_in_flight
+        Requests that one router serves at once.
+    max_cost_tokens_in_flight
+        Their expected tokens together, prompts and answers.
+    max_tenant_share
+        Share of both bounds that one tenant may take.
+    load_bound_factor
+        A worker with more than this many times the average load is passed over.
+    """
 
     max_requests_in_flight: int = 512
     max_cost_tokens_in_flight: int = 2_000_000
@@ -90,7 +168,21 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """A whole configuration."""
+    """A whole configuration.
+
+    Attributes
+    ----------
+    services
+        The services.
+    routes
+        The routes.
+    circuit
+        Figures of the circuits.
+    retry
+        Bounds on retries.
+    admission
+        Bounds on what a router takes in.
+    """
 
     services: list[Service] = []
     routes: list[Route] = []
--- a/src/orchidpath/wire/faults.py
+++ b/src/orchidpath/wire/faults.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 from pathlib import Path
 from random import Random
+from typing import Annotated
 
 import msgspec
 
@@ -35,8 +36,8 @@
     destination: str
     both_ways: bool = False
     cut: bool = False
-    delay_seconds: float = 0.0
-    loss: float = 0.0
+    delay_seconds: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
+    loss: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
 
     def applies(self, source: str, destination: str) -> bool:
         """Tell whether a message from ``source`` to ``destination`` meets this fault."""
@@ -147,6 +148,8 @@
             return self._path.read_bytes()
         except FileNotFoundError:
             return b""
+        except OSError as error:
+            raise LinkFaultFileError(f"{self._path}: {error}") from error
 
 
 async def keep_faults_current(
--- a/src/orchidpath/wire/messages.py
+++ b/src/orchidpath/wire/messages.py
@@ -332,6 +332,46 @@
     reason: str = ""
 
 
+class PlanAction(StrEnum):
+    """What an operator wants of a plan."""
+
+    CONFIRM = "confirm"
+    HALT = "halt"
+    RESUME = "resume"
+    CANCEL = "cancel"
+
+
+class PlanOrderAnswer(StrEnum):
+    """What became of an operator's order about a plan."""
+
+    ACCEPTED = "accepted"
+    STALE = "stale"
+    REFUSED = "refused"
+    ORDER_ID_REUSED = "order_id_reused"
+    NOT_TAKEN = "not_taken"
+    UNKNOWN = "unknown"
+
+
+class PlanOrderRequest(msgspec.Struct, frozen=True, kw_only=True, tag="plan_order_request"):
+    """An order about a plan, forwarded to the leader by the control process that took it.
+
+    Lost: the forwarding process answers ``unknown``. Duplicated: the order id decides.
+    """
+
+    correlation: int
+    order_id: str
+    action: PlanAction
+    plan_id: str
+
+
+class PlanOrderReply(msgspec.Struct, frozen=True, kw_only=True, tag="plan_order_reply"):
+    """The outcome of a forwarded order about a plan. Late: nobody waits; the id remembers."""
+
+    correlation: int
+    answer: PlanOrderAnswer
+    reason: str = ""
+
+
 class ReadIndexRequest(msgspec.Struct, frozen=True, kw_only=True, tag="read_index_request"):
     """A control process asks the leader up to where its own copy must be for a fresh read."""
 
@@ -397,6 +437,8 @@
     | WorkerCircuitsRequest
     | WorkerCircuitsReply
     | JoinRequest
+    | PlanOrderRequest
+    | PlanOrderReply
 )
 """Any message on a connection between two processes of the fleet."""
 
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -40,6 +40,8 @@
 
 CONFIGURATION = {"services": [{"name": "stock", "kind": "plain"}]}
 OTHER = {"services": [{"name": "board", "kind": "plain"}]}
+HANG_SECONDS = 20.0
+"""Only ends a test that hangs; no verdict depends on it otherwise."""
 INVALID = {"services": [{"name": "", "kind": "plain"}], "unknown": 1}
 
 
@@ -394,6 +396,7 @@
         yield b"{"
         await never.wait()
 
-    response = await client.put("/v1/configuration", data=body())
+    async with asyncio.timeout(HANG_SECONDS):
+        response = await client.put("/v1/configuration", data=body())
     assert response.status == 408
     never.set()
--- /dev/null
+++ b/tests/control/test_plan_api.py
@@ -0,0 +1,171 @@
+"""The operators' API for plans: statuses, bodies and the client, over a state in memory."""
+
+from collections.abc import AsyncIterator
+
+import prometheus_client
+import pytest
+from aiohttp.test_utils import TestServer
+
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.consensus.types import Role
+from orchidpath.control.operator_api import ControlAccess, UnavailableError, create_operator_app
+from orchidpath.control.operator_bodies import OperatorErrorCode, StatusBody, SubmitResult
+from orchidpath.control.operator_client import (
+    OperatorClient,
+    OrderNotTakenError,
+    OrderOutcomeUnknownError,
+    PlanRefusedError,
+)
+from orchidpath.control.plan_api import PlanAccess, add_plan_routes
+from orchidpath.control.plan_bodies import PlanOrderResult
+from orchidpath.control.plan_orders import plan_command
+from orchidpath.state.commands import (
+    Command,
+    SubmitConfiguration,
+    WorkerChanged,
+    configuration_digest,
+    encode_command,
+)
+from orchidpath.state.machine import FleetState
+from orchidpath.state.outcomes import PlanResult
+from orchidpath.state.plans import PlanStatus
+from orchidpath.wire.backend import Announcement, AnnouncementReply
+from orchidpath.wire.configuration import Configuration, Service, ServiceKind
+from orchidpath.wire.messages import PlanAction, PlanOrderAnswer, PlanOrderRequest
+from orchidpath.wire.records import Stage, WorkerRecord
+
+
+class FakeAccess(ControlAccess, PlanAccess):
+    """A control process that is its own leader; it can lose its answer or be without a leader."""
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+        self.available = True
+        self.result: PlanOrderResult | None = None
+        self.fails = False
+
+    def apply(self, command: Command) -> object:
+        return self.state.apply(self.state.applied_index + 1, encode_command(command)).outcome
+
+    async def order_plan(self, order_id: str, action: PlanAction, plan_id: str) -> PlanOrderResult:
+        if self.fails:
+            raise RuntimeError("lost")
+        if self.result is not None:
+            return self.result
+        request = PlanOrderRequest(correlation=1, order_id=order_id, action=action, plan_id=plan_id)
+        outcome = self.apply(plan_command(request, self.state))
+        assert isinstance(outcome, PlanResult)
+        answer = PlanOrderAnswer(outcome.answer.value)
+        return PlanOrderResult(answer=answer, reason=outcome.reason)
+
+    async def read_state(self) -> FleetState:
+        if not self.available:
+            raise UnavailableError("no leader")
+        return self.state
+
+    async def submit(self, order: SubmitConfiguration) -> SubmitResult:
+        raise NotImplementedError
+
+    async def circuits(self) -> tuple[WorkerCircuitView, ...]:
+        return ()
+
+    def status(self) -> StatusBody:
+        return StatusBody(node_id="c", role=Role.LEADER, term=1)
+
+    async def forward_announcement(self, announcement: Announcement) -> AnnouncementReply:
+        raise NotImplementedError
+
+
+def announce(access: FakeAccess, worker_id: str, stage: Stage) -> None:
+    worker = WorkerRecord(
+        worker_id=worker_id, incarnation="1", service="chat", stage=stage, url="http://w"
+    )
+    access.apply(WorkerChanged(record=worker, sequence=1))
+
+
+@pytest.fixture
+def access() -> FakeAccess:
+    made = FakeAccess()
+    for number in range(4):
+        announce(made, f"w{number}", Stage.PREFILL if number < 3 else Stage.DECODE)
+    service = Service(
+        name="chat", kind=ServiceKind.MODEL, models=["m"], prefill_workers=2, decode_workers=2
+    )
+    configuration = Configuration(services=[service])
+    digest = configuration_digest(0, configuration)
+    made.apply(
+        SubmitConfiguration(
+            order_id="c", base_version=0, configuration=configuration, digest=digest
+        )
+    )
+    return made
+
+
+@pytest.fixture
+async def client(access: FakeAccess) -> AsyncIterator[OperatorClient]:
+    app = create_operator_app(access, prometheus_client.CollectorRegistry())
+    add_plan_routes(app, access)
+    async with TestServer(app) as server, OperatorClient([str(server.make_url("/"))]) as made:
+        yield made
+
+
+async def test_a_shown_plan_can_be_confirmed_and_steered(
+    access: FakeAccess, client: OperatorClient
+) -> None:
+    shown = await client.plan()
+    assert shown.newest is None
+    plan_id = shown.preview.plan.plan_id
+    assert len(shown.preview.steps) == 1
+    for _ in range(2):
+        reply = await client.order_plan(PlanAction.CONFIRM, plan_id, "one")
+        assert (reply.plan_id, reply.order_id) == (plan_id, "one")
+    statuses = []
+    for action in (PlanAction.HALT, PlanAction.RESUME, PlanAction.CANCEL):
+        await client.order_plan(action, plan_id, f"order-{action}")
+        newest = (await client.plan()).newest
+        assert newest is not None
+        statuses.append(newest.progress.status)
+    assert statuses == [PlanStatus.HALTED, PlanStatus.RUNNING, PlanStatus.CANCELLED]
+
+
+async def test_a_stale_plan_is_refused_with_the_one_that_holds_now(
+    access: FakeAccess, client: OperatorClient
+) -> None:
+    shown = await client.plan()
+    announce(access, "w9", Stage.PREFILL)
+    with pytest.raises(PlanRefusedError) as refusal:
+        await client.order_plan(PlanAction.CONFIRM, shown.preview.plan.plan_id, "one")
+    body = refusal.value.body
+    assert body.error.code is OperatorErrorCode.PLAN_STALE
+    assert body.preview == (await client.plan()).preview
+    assert body.preview != shown.preview
+    assert access.state.plan is None
+
+
+async def test_a_refusal_names_its_reason(client: OperatorClient) -> None:
+    with pytest.raises(PlanRefusedError, match="not running") as refusal:
+        await client.order_plan(PlanAction.HALT, "none", "one")
+    assert refusal.value.body.error.code is OperatorErrorCode.PLAN_REFUSED
+    with pytest.raises(PlanRefusedError) as refusal:
+        await client.order_plan(PlanAction.CANCEL, "none", "one")
+    assert refusal.value.body.error.code is OperatorErrorCode.ORDER_ID_REUSED
+
+
+async def test_an_order_of_unknown_outcome_is_never_called_not_taken(
+    access: FakeAccess, client: OperatorClient
+) -> None:
+    access.result = PlanOrderResult(answer=PlanOrderAnswer.NOT_TAKEN)
+    with pytest.raises(OrderNotTakenError):
+        await client.order_plan(PlanAction.CONFIRM, "any", "one")
+    access.result = PlanOrderResult(answer=PlanOrderAnswer.UNKNOWN)
+    with pytest.raises(OrderOutcomeUnknownError):
+        await client.order_plan(PlanAction.CONFIRM, "any", "one")
+    access.fails = True
+    with pytest.raises(OrderOutcomeUnknownError):
+        await client.order_plan(PlanAction.CONFIRM, "any", "one")
+
+
+async def test_malformed_orders_are_refused(client: OperatorClient) -> None:
+    with pytest.raises(PlanRefusedError) as refusal:
+        await client.order_plan(PlanAction.CONFIRM, "", "one")
+    assert refusal.value.body.error.code is OperatorErrorCode.MALFORMED
--- /dev/null
+++ b/tests/simulation/test_plan_simulation.py
@@ -0,0 +1,69 @@
+"""Plans under faults hold on fixed seeds, and every guard left out is caught by the checks."""
+
+import pytest
+
+from orchidpath.control import plan_driver
+from orchidpath.placement import execution
+from orchidpath.placement.execution import PlanSituation
+from orchidpath.simulation.plan_simulation import run_plan_scenario
+from orchidpath.simulation.scenarios import Scenario
+from orchidpath.standins.order_fence import OrderFence
+from orchidpath.state.plans import PlanRecord, StepPhase
+from orchidpath.wire.records import WorkerRecord
+
+SCENARIOS = [
+    Scenario.CALM,
+    Scenario.KILLS,
+    Scenario.FREEZES,
+    Scenario.LONG_FREEZE,
+    Scenario.CUTS,
+    Scenario.CONTROL_LOST,
+    Scenario.RESTARTS,
+    Scenario.MIXED,
+]
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS)
+@pytest.mark.parametrize("seed", [0, 1])
+def test_plans_break_no_invariant(scenario: Scenario, seed: int) -> None:
+    result = run_plan_scenario(scenario, seed)
+    assert result.violation is None
+    assert result.switches > 0
+    assert "done" in result.plans_ended
+
+
+def test_a_seed_gives_the_same_run_twice() -> None:
+    assert run_plan_scenario(Scenario.MIXED, 3) == run_plan_scenario(Scenario.MIXED, 3)
+
+
+def violations(scenario: Scenario, seeds: range) -> list[str]:
+    found = [run_plan_scenario(scenario, seed).violation for seed in seeds]
+    return [violation for violation in found if violation is not None]
+
+
+def test_orders_before_every_router_knows_of_the_hold_are_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    guarded = execution._following_phase
+
+    def unguarded(
+        record: PlanRecord, position: int, worker: WorkerRecord, situation: PlanSituation
+    ) -> StepPhase | None:
+        if record.progress.steps[position].phase is StepPhase.HOLDING:
+            return StepPhase.DRAINING
+        return guarded(record, position, worker, situation)
+
+    monkeypatch.setattr(execution, "_following_phase", unguarded)
+    assert any("switched while" in one for one in violations(Scenario.CUTS, range(3, 5)))
+
+
+def test_workers_without_a_fence_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(OrderFence, "pass_order", lambda *_: True)
+    assert any("switched while" in one for one in violations(Scenario.CUTS, range(1, 2)))
+
+
+def test_abandoned_workers_that_nobody_resumes_are_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(plan_driver, "workers_to_resume", lambda *_: [])
+    assert any("left behind" in one for one in violations(Scenario.CUTS, range(1, 4)))
