Damaged messages and announcements are refused, never fatal

Cause: a consensus message with a damaged payload raised through the control core and would have ended the process; the router forwarded announcements that control refuses; a crafted record raised RecursionError out of the log reader. Change: a damaged consensus message is like a lost one, one decoder of announcements for every process that takes them, damage of any depth is DamagedLogError.

--- a/src/orchidpath/consensus/records.py
+++ b/src/orchidpath/consensus/records.py
@@ -91,7 +91,7 @@
         payload = view[offset + _HEADER.size : end]
         try:
             record = _decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise DamagedLogError(f"unknown record at byte {offset}: {error}") from error
         yield FoundRecord(record, end)
         offset = end
--- a/src/orchidpath/control/core.py
+++ b/src/orchidpath/control/core.py
@@ -170,8 +170,7 @@
             Monotonic seconds.
         """
         if isinstance(message, ConsensusMessage):
-            decoded = decode_consensus(message)
-            self._run(self.raft.receive(decoded, now), now)
+            self._receive_consensus(message, now)
         elif isinstance(message, WhoIsControl):
             self._outbox.append(SendToNode(sender_id, self.control_members()))
         elif isinstance(message, JoinRequest):
@@ -238,6 +237,13 @@
             term=self.raft.term, leader_id=self.raft.leader_id or "", members=members
         )
 
+    def _receive_consensus(self, message: ConsensusMessage, now: float) -> None:
+        try:
+            decoded = decode_consensus(message)
+        except (msgspec.MsgspecError, RecursionError):
+            return  # damaged by its sender: like one that was lost
+        self._run(self.raft.receive(decoded, now), now)
+
     def _receive_for_leader(self, sender_id: str, message: Message, now: float) -> None:
         if not self.has_authority(now):
             self._refuse(sender_id, message)
--- a/src/orchidpath/control/operator_bodies.py
+++ b/src/orchidpath/control/operator_bodies.py
@@ -10,6 +10,7 @@
 from orchidpath.state.outcomes import OrderAccepted, OrderRecord
 from orchidpath.state.problems import Problem
 from orchidpath.state.snapshot import ConfigurationEntry
+from orchidpath.wire import announcements
 from orchidpath.wire.backend import Announcement
 from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.records import (
@@ -17,14 +18,10 @@
     ControlMember,
     RouterRecord,
     WorkerRecord,
-    WorkerStatus,
 )
 
-MAX_ID_CHARACTERS = 200
-"""Length of an order's, worker's or incarnation's identifier."""
-
-MAX_VERSION = 2**53
-"""Versions and sequences stay where every JSON reader keeps them exact."""
+MAX_VERSION = announcements.MAX_SEQUENCE
+"""Largest version of a configuration."""
 
 NEUTRAL_HEALTH = 0.5
 """Health of a worker without attempts (paper: neutral default)."""
@@ -216,7 +213,6 @@
 
 
 _submit_decoder = msgspec.json.Decoder(SubmitBody)
-_announcement_decoder = msgspec.json.Decoder(Announcement)
 
 
 def decode_submit(raw: bytes) -> SubmitBody:
@@ -246,24 +242,14 @@
         The body has not the documented form.
     """
     try:
-        announcement = _announcement_decoder.decode(raw)
-    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        return announcements.decode_announcement(raw)
+    except announcements.InvalidAnnouncementError as error:
         raise MalformedRequestError(str(error)) from error
-    record = announcement.record
-    for name in ("worker_id", "incarnation", "service"):
-        _check_identifier(getattr(record, name), f"record.{name}")
-    if not record.url.startswith("http://"):
-        raise MalformedRequestError("record.url is not an http address")
-    if record.status is WorkerStatus.GONE:
-        raise MalformedRequestError("record.status must be ready or draining")
-    if not 0 <= announcement.sequence <= MAX_VERSION:
-        raise MalformedRequestError("sequence is out of range")
-    return announcement
 
 
 def _check_identifier(value: str, name: str) -> None:
-    if not 0 < len(value) <= MAX_ID_CHARACTERS or not value.isprintable():
-        raise MalformedRequestError(f"{name} must be 1 to {MAX_ID_CHARACTERS} printable characters")
+    if not announcements.is_identifier(value):
+        raise MalformedRequestError(f"{name} must be {announcements.IDENTIFIER_FORM}")
 
 
 def order_body(record: OrderRecord) -> OrderBody:
--- a/src/orchidpath/control/plan_bodies.py
+++ b/src/orchidpath/control/plan_bodies.py
@@ -3,12 +3,12 @@
 import msgspec
 
 from orchidpath.control.operator_bodies import (
-    MAX_ID_CHARACTERS,
     MalformedRequestError,
     OperatorError,
 )
 from orchidpath.placement.planner import PlanPreview
 from orchidpath.state.plans import PlanRecord
+from orchidpath.wire.announcements import IDENTIFIER_FORM, is_identifier
 from orchidpath.wire.messages import PlanAction, PlanOrderAnswer
 
 
@@ -66,7 +66,7 @@
         raise MalformedRequestError(str(error)) from error
     for name in ("plan_id", "order_id"):
         value = getattr(body, name)
-        if not 0 < len(value) <= MAX_ID_CHARACTERS or not value.isprintable():
-            message = f"{name} must be 1 to {MAX_ID_CHARACTERS} printable characters"
+        if not is_identifier(value):
+            message = f"{name} must be {IDENTIFIER_FORM}"
             raise MalformedRequestError(message)
     return body
--- a/src/orchidpath/router/http_edge.py
+++ b/src/orchidpath/router/http_edge.py
@@ -43,7 +43,8 @@
 )
 from orchidpath.router.routing_state import RoutingState
 from orchidpath.routing.admission import Rejected
-from orchidpath.wire.backend import Announcement, ErrorBody, ErrorCode, Ran
+from orchidpath.wire.announcements import InvalidAnnouncementError, decode_announcement
+from orchidpath.wire.backend import ErrorBody, ErrorCode, Ran
 from orchidpath.wire.messages import AttemptReport, CircuitsView, CounterReport
 from orchidpath.wire.records import FleetView
 
@@ -175,8 +176,8 @@
 
     async def _announce(self, request: web.Request) -> web.StreamResponse:
         try:
-            announcement = msgspec.json.decode(await request.read(), type=Announcement)
-        except (msgspec.DecodeError, RecursionError) as problem:
+            announcement = decode_announcement(await request.read())
+        except InvalidAnnouncementError as problem:
             return error_response(refusal(ErrorCode.BAD_REQUEST, str(problem), ""))
         reply = await self._fleet.announce(announcement)
         return web.Response(body=msgspec.json.encode(reply), content_type="application/json")
