Control at size: confirmation looks at lagging routers only, one word for many revisions

Cause: a fleet of 360 routers and 710 workers did not come into service. 55 in 100 of the leader's turn was the confirmation tracker, which built a set of router names for every pending revision at every heartbeat (profile of 180 routers growing: 140,717 sets, 5.5 of 16.2 s); every adopted revision made every router send a heartbeat; circuits took the whole roster for every revision. Ruled out: disk syncs, consensus messages. Change: majorities found by halving, lagging routers kept apart, an adopted view is acknowledged within 10 ms together with all others, the circuits' roster is refreshed once before it is used. Routers look for a new leader after 0.7 s instead of 1.0 s.

--- a/src/orchidpath/control/confirmation.py
+++ b/src/orchidpath/control/confirmation.py
@@ -4,6 +4,7 @@
 confirmed".
 """
 
+from bisect import bisect_right
 from enum import StrEnum
 
 import msgspec
@@ -29,14 +30,20 @@
     witnesses: frozenset[str]
 
 
-class _Pending(msgspec.Struct):
+class _Majority(msgspec.Struct, frozen=True):
+    """At ``at`` a majority of every witness set concerned was seen to have adopted ``revision``."""
+
     revision: int
-    majority_at: float | None = None
+    at: float
 
 
 class ConfirmationTracker:
     """Follows which revision every serving router obeys.
 
+    While a fleet forms there are hundreds of routers and of revisions at once, so nothing here
+    looks at all routers for each revision: a majority for a revision is one for every lower one,
+    and of the routers only those that lag behind the newest revision are kept apart.
+
     Parameters
     ----------
     confirmed_revision
@@ -57,86 +64,112 @@
         disabled_guards: frozenset[ConfirmationGuard] = frozenset(),
     ) -> None:
         self.confirmed_revision = confirmed_revision
-        self._rosters = rosters
+        self._rosters = list(rosters)
         self._adopted: dict[str, int] = {}
-        self._pending: list[_Pending] = []
+        self._pending: list[int] = []
+        self._majorities: list[_Majority] = []
         # Routers removed under an earlier leader may still hold a lease that it gave them.
         self._inherited_until = now + LAPSE_SECONDS
         self._disabled = disabled_guards
+        self._awaited: set[str] = set()
+        self._lagging: set[str] = set()
+        self._await_rosters()
+
+    @property
+    def is_anyone_lagging(self) -> bool:
+        """Whether some awaited router has not reported the newest committed revision."""
+        return bool(self._lagging)
 
     def revision_committed(self, revision: int, roster: Roster) -> None:
         """Start to follow a revision; ``roster`` is the one in force after it."""
         newest = self._rosters[-1] if self._rosters else None
-        changed = (
-            newest is None
-            or newest.routers != roster.routers
-            or newest.witnesses != roster.witnesses
-        )
-        if changed:
+        if newest is None or not _is_same(newest, roster):
             self._rosters.append(roster)
-        self._pending.append(_Pending(revision))
+            self._awaited |= roster.routers
+        self._pending.append(revision)
+        self._lagging = {one for one in self._awaited if self._adopted.get(one, 0) < revision}
 
     def router_adopted(self, router_id: str, revision: int) -> None:
         """Take a router's word; a restarted router may report a lower revision than before."""
         self._adopted[router_id] = revision
+        if not self._pending or router_id not in self._awaited:
+            return
+        if revision >= self._pending[-1]:
+            self._lagging.discard(router_id)
+        else:
+            self._lagging.add(router_id)
 
     def lagging_routers(self) -> list[str]:
-        """Return the registered routers that have not reported the newest committed revision."""
-        if not self._pending or not self._rosters:
-            return []
-        newest = self._pending[-1].revision
-        return sorted(
-            router_id
-            for router_id in self._rosters[-1].routers
-            if self._adopted.get(router_id, 0) < newest
-        )
+        """Return the awaited routers that have not reported the newest committed revision."""
+        return sorted(self._lagging) if self._pending else []
 
     def advance(self, now: float) -> int:
         """Return the newest confirmed revision as of ``now``."""
-        for pending in self._pending:
-            if pending.majority_at is None and self._has_majorities(pending.revision):
-                pending.majority_at = now
-        for pending in reversed(self._pending):
-            if self._is_confirmed(pending, now):
-                self._confirm(pending.revision)
-                break
+        if not self._pending:
+            return self.confirmed_revision
+        self._note_majority(now)
+        confirmed = self._newest_confirmed(now)
+        if confirmed > self.confirmed_revision:
+            self._confirm(confirmed)
         return self.confirmed_revision
 
-    def next_deadline(self) -> float:
-        """When `advance` may confirm something without any further message."""
-        waits = [p.majority_at + LAPSE_SECONDS for p in self._pending if p.majority_at is not None]
-        return min(waits, default=float("inf"))
-
-    def _rosters_up_to(self, revision: int) -> list[Roster]:
-        return [roster for roster in self._rosters if roster.revision <= revision]
+    def _newest_confirmed(self, now: float) -> int:
+        newest = self._majorities[-1] if self._majorities else None
+        if newest is None:
+            return self.confirmed_revision
+        if ConfirmationGuard.WAIT_FOR_LAPSE in self._disabled:
+            return newest.revision
+        all_adopted = newest.revision == self._pending[-1] and not self._lagging
+        if all_adopted and now >= self._inherited_until:
+            return newest.revision
+        lapsed = [one.revision for one in self._majorities if now >= one.at + LAPSE_SECONDS]
+        return max(lapsed, default=self.confirmed_revision)
+
+    def _note_majority(self, now: float) -> None:
+        """Find the newest pending revision that has its majorities, by halving."""
+        known = self._majorities[-1].revision if self._majorities else self.confirmed_revision
+        waiting = self._pending[bisect_right(self._pending, known) :]
+        low, high = 0, len(waiting)
+        while low < high:
+            middle = (low + high) // 2
+            if self._has_majorities(waiting[middle]):
+                low = middle + 1
+            else:
+                high = middle
+        if low > 0:
+            self._majorities.append(_Majority(waiting[low - 1], now))
 
     def _has_majorities(self, revision: int) -> bool:
+        """Whether a majority of each witness set up to a revision has adopted it.
+
+        One for a revision is one for every lower one: fewer sets are concerned, and whoever has
+        adopted the higher revision obeys the lower one too.
+        """
         if ConfirmationGuard.WITNESS_MAJORITY in self._disabled:
             return True
-        for roster in self._rosters_up_to(revision):
-            adopted = sum(1 for one in roster.witnesses if self._adopted.get(one, 0) >= revision)
-            if roster.witnesses and adopted <= len(roster.witnesses) // 2:
-                return False
-        return True
-
-    def _is_confirmed(self, pending: _Pending, now: float) -> bool:
-        if pending.majority_at is None:
-            return False
-        if ConfirmationGuard.WAIT_FOR_LAPSE in self._disabled:
-            return True
-        if now >= pending.majority_at + LAPSE_SECONDS:
-            return True
-        if now < self._inherited_until:
-            return False
-        routers = {
-            one for roster in self._rosters_up_to(pending.revision) for one in roster.routers
-        }
-        return all(self._adopted.get(one, 0) >= pending.revision for one in routers)
+        witness_sets = {one.witnesses for one in self._rosters if one.revision <= revision}
+        return all(self._has_majority(witnesses, revision) for witnesses in witness_sets)
+
+    def _has_majority(self, witnesses: frozenset[str], revision: int) -> bool:
+        adopted = sum(1 for one in witnesses if self._adopted.get(one, 0) >= revision)
+        return not witnesses or adopted > len(witnesses) // 2
 
     def _confirm(self, revision: int) -> None:
         self.confirmed_revision = revision
-        self._pending = [pending for pending in self._pending if pending.revision > revision]
-        in_force = self._rosters_up_to(revision)
+        self._pending = self._pending[bisect_right(self._pending, revision) :]
+        self._majorities = [one for one in self._majorities if one.revision > revision]
+        in_force = [roster for roster in self._rosters if roster.revision <= revision]
         later = [roster for roster in self._rosters if roster.revision > revision]
         # Of the older rosters only the one in force at the confirmed revision can still be obeyed.
         self._rosters = in_force[-1:] + later
+        self._await_rosters()
+
+    def _await_rosters(self) -> None:
+        """Await every router of every roster that some router may still obey."""
+        self._awaited = {one for roster in self._rosters for one in roster.routers}
+        newest = self._pending[-1] if self._pending else 0
+        self._lagging = {one for one in self._awaited if self._adopted.get(one, 0) < newest}
+
+
+def _is_same(first: Roster, second: Roster) -> bool:
+    return first.routers == second.routers and first.witnesses == second.witnesses
--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -112,6 +112,7 @@
         self._circuits_sequence = 0
         self._circuits_dirty = True
         self._next_tick = now
+        self._workers_changed = False
         self._pushed_revision = 0
         self._next_circuits_push = now
         self._next_circuits_repeat = now + CIRCUITS_REPEAT_SECONDS
@@ -125,6 +126,7 @@
         if now < self._next_tick:
             return
         self._next_tick = now + TICK_PERIOD_SECONDS
+        self._refresh_workers()
         workers = {worker.worker_id: worker.incarnation for worker in self._state.workers()}
         for worker_id, incarnation, sequence in self._liveness.silent_workers(workers, now):
             gone = WorkerGone(worker_id=worker_id, incarnation=incarnation, sequence=sequence)
@@ -165,7 +167,8 @@
             registered=registered,
         )
         self.outbox.append(SendToNode(router_id, reply))
-        self._advance_confirmation(now)
+        if not self.confirmation.is_anyone_lagging:
+            self._advance_confirmation(now)
 
     def receive_update_request(self, router_id: str, request: FleetUpdateRequest) -> None:
         """Send a router all that lies above the revision it names."""
@@ -188,6 +191,7 @@
         self, router_id: str, request: DecisionRequest, now: float
     ) -> None:
         """Decide one attempt, after a committed transition if it would be a probe."""
+        self._refresh_workers()
         answer = self.circuits.decide(request, now)
         if isinstance(answer, Decided):
             reply = msgspec.structs.replace(
@@ -199,6 +203,7 @@
 
     def receive_reports(self, router_id: str, reports: AttemptReports, now: float) -> None:
         """Count reports, propose the transitions they cause, and acknowledge them."""
+        self._refresh_workers()
         for transition in self.circuits.report(reports.reports, now):
             self.proposals.append(CircuitChanged(transition=transition))
         reply = AttemptReportsReply(sequence=reports.sequence, term=self._term)
@@ -207,16 +212,20 @@
     def receive_counters(self, router_id: str, counters: CounterReport, now: float) -> None:
         """Rebuild the hot counters from a router's own part of them."""
         if counters.term == self._term:
+            self._refresh_workers()
             self.circuits.rebuild(router_id, counters, now)
 
     def receive_capacity(self, observed: CapacityObserved, now: float) -> None:
         """Open a failure domain's capacity circuit on a router's derived throttle."""
+        self._refresh_workers()
         transition = self.circuits.observe_capacity(observed, now)
         if transition is not None:
             self.proposals.append(CapacityChanged(transition=transition))
 
     def applied(self, outcome: Outcome, previous_revision: int, now: float) -> None:
         """Follow one command that the replicated state has applied."""
+        if isinstance(outcome, CircuitResult | CapacityResult):
+            self._refresh_workers()
         if isinstance(outcome, CircuitResult) and outcome.record is not None:
             self.circuits.apply_circuit(outcome.record, now)
             self._circuits_dirty = True
@@ -247,6 +256,12 @@
                 updates[known] = self._state.update_since(known)
             self.outbox.append(SendToNode(router_id, updates[known]))
 
+    def _refresh_workers(self) -> None:
+        """Bring the circuits up to date once for all revisions since they were last looked at."""
+        if self._workers_changed:
+            self._workers_changed = False
+            self.circuits.set_workers(self._state.workers())
+
     def _in_flight(self, now: float) -> dict[str, int]:
         return {view.worker_id: view.in_flight for view in self.circuits.view(now)}
 
@@ -255,8 +270,7 @@
         configuration = self._state.configuration
         factor = configuration.admission.load_bound_factor
         self.circuits.set_policy(configuration.circuit, factor)
-        self.circuits.set_workers(self._state.workers())
-        self._advance_confirmation(now)
+        self._workers_changed = True
 
     def _advance_confirmation(self, now: float) -> None:
         confirmed = self.confirmation.advance(now)
--- a/src/orchidpath/router/control_link.py
+++ b/src/orchidpath/router/control_link.py
@@ -18,6 +18,8 @@
 from orchidpath.router.leader_finder import LeaderFinder
 from orchidpath.router.report_queue import ReportQueue
 from orchidpath.routing.freshness import (
+    ACKNOWLEDGE_SECONDS,
+    AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
     SendToLeader,
@@ -127,6 +129,7 @@
         )
         self._listener = Listener(record.address, hello, on_message=self._on_message, faults=faults)
         self._turns: asyncio.Task[None] | None = None
+        self._acknowledging: asyncio.TimerHandle | None = None
 
     def set_listener(self, listener: FleetListener) -> None:
         """Name the one that is told what this link learns; before :meth:`start`."""
@@ -145,6 +148,8 @@
         """Send what is queued and close."""
         if self._turns is not None:
             self._turns.cancel()
+        if self._acknowledging is not None:
+            self._acknowledging.cancel()
         self._send_queued(self._clock())
         await asyncio.sleep(0)
         await self._links.close()
@@ -335,6 +340,17 @@
                     self._links.send(effect.address, effect.message)
                 case ViewAdopted():
                     self._view_adopted(effect.view)
+                case AcknowledgeSoon():
+                    self._acknowledge_soon()
+
+    def _acknowledge_soon(self) -> None:
+        if self._acknowledging is None:
+            loop = asyncio.get_running_loop()
+            self._acknowledging = loop.call_later(ACKNOWLEDGE_SECONDS, self._acknowledge)
+
+    def _acknowledge(self) -> None:
+        self._acknowledging = None
+        self._execute(self._core.heartbeat(self._clock()))
 
     def _view_adopted(self, view: FleetView) -> None:
         alive = {worker.worker_id: worker.incarnation for worker in view.workers}
--- a/src/orchidpath/router/decision_log_writer.py
+++ b/src/orchidpath/router/decision_log_writer.py
@@ -89,11 +89,11 @@
         except queue.Full:
             self._drop()
 
-    def stop(self) -> None:
+    def stop(self, timeout_seconds: float = STOP_SECONDS) -> None:
         """Write what still waits, for a bounded time."""
         self._stopping.set()
         if self._thread.is_alive():
-            self._thread.join(STOP_SECONDS)
+            self._thread.join(timeout_seconds)
 
     def _drop(self) -> None:
         with self._lock:
--- a/src/orchidpath/router/leader_finder.py
+++ b/src/orchidpath/router/leader_finder.py
@@ -7,7 +7,7 @@
 
 from orchidpath.wire.messages import ControlMembers
 
-LEADER_SILENT_SECONDS = 1.0
+LEADER_SILENT_SECONDS = 0.7
 """Without a word of the leader for this long, every known process is asked who leads."""
 
 ASK_PERIOD_SECONDS = 0.25
--- a/src/orchidpath/routing/freshness.py
+++ b/src/orchidpath/routing/freshness.py
@@ -25,6 +25,9 @@
 LEADER_SILENCE_SECONDS = 0.7
 """Without an answer of the leader for this long, the witnesses are asked as well."""
 
+ACKNOWLEDGE_SECONDS = 0.01
+"""An adopted view is acknowledged within this time."""
+
 REMEMBERED_SENDS = 16
 """How many sent heartbeats or queries are remembered; older ones are past their lease anyway."""
 
@@ -60,7 +63,15 @@
     view: FleetView
 
 
-FreshnessEffect = SendToLeader | SendToRouter | ViewAdopted
+class AcknowledgeSoon(msgspec.Struct, frozen=True):
+    """Call `heartbeat` within ``ACKNOWLEDGE_SECONDS``, once for all views adopted until then.
+
+    The leader waits for this router's word before it calls a revision confirmed; but while a fleet
+    forms there are hundreds of revisions a second, and one word about the newest is enough.
+    """
+
+
+FreshnessEffect = SendToLeader | SendToRouter | ViewAdopted | AcknowledgeSoon
 
 
 class _WitnessAnswer(msgspec.Struct, frozen=True):
@@ -204,8 +215,7 @@
         if view is None:
             return [SendToLeader(FleetUpdateRequest(adopted_revision=self.revision))]
         self._view = view
-        # The leader waits for this router's word: tell it now and not at the next heartbeat.
-        return [ViewAdopted(view), SendToLeader(self._heartbeat_message(now))]
+        return [ViewAdopted(view), AcknowledgeSoon()]
 
     def receive_query(
         self, query: FreshnessQuery, address: str, now: float
--- a/src/orchidpath/simulation/router_node.py
+++ b/src/orchidpath/simulation/router_node.py
@@ -4,6 +4,8 @@
 
 from orchidpath.router.leader_finder import LeaderFinder
 from orchidpath.routing.freshness import (
+    ACKNOWLEDGE_SECONDS,
+    AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
     FreshnessGuard,
@@ -62,6 +64,7 @@
         self._seeds = seeds
         self._guards = guards
         self._finder = LeaderFinder(seeds, 0.0)
+        self._acknowledging = False
 
     @property
     def node_id(self) -> str:
@@ -83,6 +86,7 @@
         incarnation = f"{self.address}-{self.epoch}"
         self.core = FreshnessCore(self._record, incarnation, self.now, self._guards)
         self._finder = LeaderFinder(self._seeds, self.now)
+        self._acknowledging = False
         self.every(TURN_SECONDS, self._turn)
 
     def on_kill(self) -> None:
@@ -137,12 +141,24 @@
                     self._send_to_leader(effect.message)
                 case SendToRouter():
                     self.send(effect.address, effect.message)
+                case AcknowledgeSoon():
+                    self._acknowledge_soon()
                 case ViewAdopted():
                     self.on_view_adopted(effect.view)
 
     def on_view_adopted(self, view: FleetView) -> None:
         """Obey a newly adopted view; a router without requests has nothing to do."""
 
+    def _acknowledge_soon(self) -> None:
+        if not self._acknowledging:
+            self._acknowledging = True
+            self.after(ACKNOWLEDGE_SECONDS, self._acknowledge)
+
+    def _acknowledge(self) -> None:
+        assert self.core is not None
+        self._acknowledging = False
+        self._execute(self.core.heartbeat(self.now))
+
     def _send_to_leader(self, message: Message) -> None:
         if self._finder.leader_address:
             self.send(self._finder.leader_address, message)
