Updates carry what changed; a lagging view no longer undoes what a worker said

Change: deltas of workers, routers, witnesses and configuration; a word is forgotten only when its incarnation was in a view and no longer is. A router that has adopted nothing gets the whole view: without that, it asked for ever (seen in the simulation, 52,641 messages in 2.9 virtual seconds).

--- a/src/orchidpath/router/control_link.py
+++ b/src/orchidpath/router/control_link.py
@@ -13,6 +13,7 @@
 
 from orchidpath.common.clock import Clock
 from orchidpath.common.logs import get_logger
+from orchidpath.router.announced_workers import AnnouncedWorkers
 from orchidpath.router.decisions import FleetAccess
 from orchidpath.router.late_decisions import LateDecisions
 from orchidpath.router.leader_finder import LeaderFinder
@@ -49,7 +50,7 @@
     WhoIsControl,
 )
 from orchidpath.wire.peer_links import PeerLinks
-from orchidpath.wire.records import FleetView, RouterRecord, WorkerStatus
+from orchidpath.wire.records import FleetView, RouterRecord
 
 TURN_SECONDS = 0.05
 """Period of the link's own turn: heartbeats when due, batched reports and announcements."""
@@ -74,12 +75,6 @@
         """Return this router's own counters for a new leader, without what is still reported."""
 
 
-class _Announced(msgspec.Struct, frozen=True):
-    incarnation: str
-    sequence: int
-    draining: bool
-
-
 class ControlLink(FleetAccess):
     """Connects one router to control, to its witnesses and to the processes that ask it.
 
@@ -117,7 +112,7 @@
         self._reports = ReportQueue()
         self._late_decisions = LateDecisions()
         self._announcements: dict[str, Announcement] = {}
-        self._announced: dict[str, _Announced] = {}
+        self._announced = AnnouncedWorkers()
         self._decisions: dict[int, asyncio.Future[DecisionReply]] = {}
         self._correlation = 0
         self._tier_retry_at = float("-inf")
@@ -211,23 +206,17 @@
     async def announce(self, announcement: Announcement) -> AnnouncementReply:
         """Take a worker's announcement and forward it to the leader."""
         record = announcement.record
-        known = self._announced.get(record.worker_id)
-        same = known is not None and known.incarnation == record.incarnation
-        if known is not None and same and known.sequence >= announcement.sequence:
+        was_draining = self._announced.is_draining(record.worker_id)
+        if not self._announced.heard(announcement):
             return self._announcement_reply()
-        draining = record.status is not WorkerStatus.READY
-        self._announced[record.worker_id] = _Announced(
-            record.incarnation, announcement.sequence, draining
-        )
         self._announcements[record.worker_id] = announcement
-        if known is None or not same or known.draining != draining:
+        if was_draining != self._announced.is_draining(record.worker_id):
             self._send_announcements()
         return self._announcement_reply()
 
     def locally_draining(self, worker_id: str) -> bool:
         """Return whether the worker itself told this router that it is draining."""
-        announced = self._announced.get(worker_id)
-        return announced is not None and announced.draining
+        return self._announced.is_draining(worker_id)
 
     async def _turn_forever(self) -> None:
         while True:
@@ -353,12 +342,7 @@
         self._execute(self._core.heartbeat(self._clock()))
 
     def _view_adopted(self, view: FleetView) -> None:
-        alive = {worker.worker_id: worker.incarnation for worker in view.workers}
-        self._announced = {
-            worker_id: announced
-            for worker_id, announced in self._announced.items()
-            if alive.get(worker_id, announced.incarnation) == announced.incarnation
-        }
+        self._announced.view_adopted(view)
         self._logger.debug("view_adopted", revision=view.revision)
         if self._listener_object is not None:
             self._listener_object.view_adopted(view)
--- a/src/orchidpath/routing/freshness.py
+++ b/src/orchidpath/routing/freshness.py
@@ -334,16 +334,29 @@
 
 
 def apply_delta(view: FleetView, update: FleetUpdate) -> FleetView:
-    """Return ``view`` changed by the workers of a delta; a GONE worker is removed."""
-    workers: dict[str, WorkerRecord] = {worker.worker_id: worker for worker in view.workers}
+    """Return ``view`` changed by a delta; GONE workers and removed routers are taken out."""
+    routers = {router.router_id: router for router in view.routers}
+    routers.update({router.router_id: router for router in update.routers})
+    for router_id in update.removed_routers:
+        routers.pop(router_id, None)
+    configuration = view.configuration
+    if update.configuration is not None:
+        configuration = update.configuration
+    return FleetView(
+        revision=update.revision,
+        configuration_version=update.configuration_version,
+        configuration=configuration,
+        workers=_changed_workers(view, update),
+        routers=tuple(routers[router_id] for router_id in sorted(routers)),
+        witnesses=view.witnesses if update.witnesses is None else update.witnesses,
+    )
+
+
+def _changed_workers(view: FleetView, update: FleetUpdate) -> tuple[WorkerRecord, ...]:
+    workers = {worker.worker_id: worker for worker in view.workers}
     for worker in update.workers:
         if worker.status is WorkerStatus.GONE:
             workers.pop(worker.worker_id, None)
         else:
             workers[worker.worker_id] = worker
-    return msgspec.structs.replace(
-        view,
-        revision=update.revision,
-        configuration_version=update.configuration_version,
-        workers=tuple(workers[worker_id] for worker_id in sorted(workers)),
-    )
+    return tuple(workers[worker_id] for worker_id in sorted(workers))
--- a/src/orchidpath/simulation/fleet_access.py
+++ b/src/orchidpath/simulation/fleet_access.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from orchidpath.router.announced_workers import AnnouncedWorkers
 from orchidpath.router.control_link import RETRY_TIER_SECONDS
 from orchidpath.router.decisions import FleetAccess
 from orchidpath.router.late_decisions import LateDecisions
@@ -26,7 +27,7 @@
     Denial,
     Message,
 )
-from orchidpath.wire.records import FleetView, Stage, WorkerStatus
+from orchidpath.wire.records import FleetView, Stage
 
 NOT_FRESH_RETRY_SECONDS = 1.0
 
@@ -69,12 +70,6 @@
     step(None)
 
 
-class _Announced(msgspec.Struct, frozen=True):
-    incarnation: str
-    sequence: int
-    is_draining: bool
-
-
 class SimulatedFleetAccess(FleetAccess):
     """The fleet as one run of one simulated router sees it.
 
@@ -103,7 +98,7 @@
         self._send_to_leader = send_to_leader
         self._guards = guards
         self._late_decisions = LateDecisions()
-        self._announced: dict[str, _Announced] = {}
+        self._announced = AnnouncedWorkers()
         self._decisions: dict[int, Waiting] = {}
         self._correlation = 0
         self._tier_retry_at = float("-inf")
@@ -170,32 +165,17 @@
 
     def hear(self, announcement: Announcement) -> bool:
         """Remember what a worker says of itself; false for one that is not newer."""
-        record = announcement.record
-        known = self._announced.get(record.worker_id)
-        same = known is not None and known.incarnation == record.incarnation
-        if known is not None and same and known.sequence >= announcement.sequence:
-            return False
-        is_draining = record.status is not WorkerStatus.READY
-        self._announced[record.worker_id] = _Announced(
-            record.incarnation, announcement.sequence, is_draining
-        )
-        return True
+        return self._announced.heard(announcement)
 
     def locally_draining(self, worker_id: str) -> bool:
         """Return whether the worker itself told this router that it is draining."""
-        announced = self._announced.get(worker_id)
-        if announced is None or PathGuard.DRAINING_HEARD in self._guards:
+        if PathGuard.DRAINING_HEARD in self._guards:
             return False
-        return announced.is_draining
+        return self._announced.is_draining(worker_id)
 
     def view_adopted(self, view: FleetView) -> None:
         """Forget what incarnations have said that are no more."""
-        alive = {worker.worker_id: worker.incarnation for worker in view.workers}
-        self._announced = {
-            worker_id: announced
-            for worker_id, announced in self._announced.items()
-            if alive.get(worker_id, announced.incarnation) == announced.incarnation
-        }
+        self._announced.view_adopted(view)
 
     def _with_kept_probes(self, reply: DecisionReply) -> DecisionReply:
         """Use a granted probe for later attempts as well; for a guard left out."""
--- a/src/orchidpath/state/changes.py
+++ b/src/orchidpath/state/changes.py
@@ -4,17 +4,37 @@
 
 import msgspec
 
-from orchidpath.wire.records import WorkerRecord
+from orchidpath.wire.records import RouterRecord, WorkerRecord
 
 CHANGE_MEMORY = 1024
 """How many of the newest revisions are remembered as changes."""
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
-    """What one revision changed: one worker, or with no worker more than that."""
+    """What one revision changed: exactly one of a worker, a router or the configuration.
+
+    ``router`` was registered or changed, ``removed_router`` left the roster.
+    """
 
     revision: int
-    worker: WorkerRecord | None
+    worker: WorkerRecord | None = None
+    router: RouterRecord | None = None
+    removed_router: str = ""
+    configuration: bool = False
+
+
+class Delta(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that changed above a revision: the newest record of each, by id."""
+
+    workers: tuple[WorkerRecord, ...] = ()
+    routers: tuple[RouterRecord, ...] = ()
+    removed_routers: tuple[str, ...] = ()
+    configuration: bool = False
+
+    @property
+    def roster(self) -> bool:
+        """Whether the roster of routers changed, and so perhaps the witnesses."""
+        return bool(self.routers or self.removed_routers)
 
 
 class ChangeLog:
@@ -27,25 +47,37 @@
     def __init__(self) -> None:
         self._changes: deque[Change] = deque(maxlen=CHANGE_MEMORY)
 
-    def add(self, revision: int, worker: WorkerRecord | None) -> None:
-        """Add the change that made a revision; with no worker, more than one worker changed."""
-        self._changes.append(Change(revision=revision, worker=worker))
+    def add(self, change: Change) -> None:
+        """Add the change that made a revision."""
+        self._changes.append(change)
 
-    def workers_since(self, revision: int) -> tuple[WorkerRecord, ...] | None:
-        """Return the newest record of each worker changed above a revision, by id.
+    def since(self, revision: int) -> Delta | None:
+        """Return what changed above a revision.
 
         Returns
         -------
-        tuple of WorkerRecord or None
-            None if more than workers changed, or the changes are not remembered that far back.
+        Delta or None
+            None if the changes are not remembered that far back.
         """
         if not self._changes or self._changes[0].revision > revision + 1:
             return None
-        newest: dict[str, WorkerRecord] = {}
+        workers: dict[str, WorkerRecord] = {}
+        routers: dict[str, RouterRecord | None] = {}
+        configuration = False
         for change in self._changes:
             if change.revision <= revision:
                 continue
-            if change.worker is None:
-                return None
-            newest[change.worker.worker_id] = change.worker
-        return tuple(newest[worker_id] for worker_id in sorted(newest))
+            configuration = configuration or change.configuration
+            if change.worker is not None:
+                workers[change.worker.worker_id] = change.worker
+            if change.router is not None:
+                routers[change.router.router_id] = change.router
+            if change.removed_router:
+                routers[change.removed_router] = None
+        present = [record for _, record in sorted(routers.items()) if record is not None]
+        return Delta(
+            workers=tuple(workers[worker_id] for worker_id in sorted(workers)),
+            routers=tuple(present),
+            removed_routers=tuple(one for one in sorted(routers) if routers[one] is None),
+            configuration=configuration,
+        )
--- a/src/orchidpath/state/machine.py
+++ b/src/orchidpath/state/machine.py
@@ -10,7 +10,7 @@
 
 from orchidpath.circuit.transitions import CircuitTransition
 from orchidpath.common.errors import OrchidpathError
-from orchidpath.state.changes import ChangeLog
+from orchidpath.state.changes import Change, ChangeLog, Delta
 from orchidpath.state.circuits import AgreedCircuits
 from orchidpath.state.commands import (
     AdvanceStep,
@@ -301,18 +301,27 @@
     def update_since(self, adopted_revision: int) -> FleetUpdate:
         """Return what brings a router from the revision it has adopted to the newest one.
 
-        It lists the changed workers if nothing else changed, and is whole otherwise.
+        Only what changed, as far back as changes are remembered; the whole view beyond that.
         """
-        if adopted_revision >= self._revision:
-            workers: tuple[WorkerRecord, ...] | None = ()
-        else:
-            workers = self._changes.workers_since(adopted_revision)
+        delta: Delta | None = Delta()
+        if adopted_revision < self._revision:
+            delta = self._changes.since(adopted_revision)
+        # A router that has adopted nothing has no view that a delta could change.
+        if delta is None or adopted_revision == 0:
+            return FleetUpdate(
+                revision=self._revision,
+                configuration_version=self._configuration_version,
+                view=self.view(),
+            )
         return FleetUpdate(
             revision=self._revision,
             configuration_version=self._configuration_version,
-            view=self.view() if workers is None else None,
-            base_revision=0 if workers is None else adopted_revision,
-            workers=workers or (),
+            base_revision=adopted_revision,
+            workers=delta.workers,
+            routers=delta.routers,
+            removed_routers=delta.removed_routers,
+            witnesses=self.witnesses if delta.roster else None,
+            configuration=self._configuration if delta.configuration else None,
         )
 
     def _apply_command(self, command: Command) -> Outcome:
@@ -361,11 +370,13 @@
         self._history.append(
             ConfigurationEntry(version=version, order_id=order.order_id, digest=order.digest)
         )
-        self._advance_revision(None)
+        self._revision += 1
+        self._changes.add(Change(revision=self._revision, configuration=True))
         self._plans.configuration_changed()
         return OrderAccepted(version=version)
 
     def _change_roster(self, command: RegisterRouter | RemoveRouter) -> Effect:
+        revision = self._revision + 1
         if isinstance(command, RegisterRouter):
             record = command.record
             if not record.router_id:
@@ -373,9 +384,13 @@
             if self._routers.get(record.router_id) == record:
                 return Effect.UNCHANGED
             self._routers[record.router_id] = record
-        elif self._routers.pop(command.router_id, None) is None:
-            return Effect.UNKNOWN
-        self._advance_revision(None)
+            change = Change(revision=revision, router=record)
+        else:
+            if self._routers.pop(command.router_id, None) is None:
+                return Effect.UNKNOWN
+            change = Change(revision=revision, removed_router=command.router_id)
+        self._revision = revision
+        self._changes.add(change)
         chosen = choose_witnesses(self.witnesses, self._routers)
         self._witnesses.change(self._revision, chosen, self._confirmed_revision)
         return Effect.CHANGED
@@ -392,7 +407,7 @@
             effect = self._workers.hold(command.worker_id, command.held)
             changed = self._agreed_worker(command.worker_id)
         if effect is Effect.CHANGED and changed is not None:
-            self._advance_revision(changed)
+            self._worker_changed(changed)
             self._circuits.forget(self._workers.known)
         return effect
 
@@ -441,7 +456,7 @@
         self._confirmed_revision = command.revision
         return Effect.CHANGED
 
-    def _advance_revision(self, worker: WorkerRecord | None) -> None:
-        """Make the next revision; with no worker, more than one worker changed."""
+    def _worker_changed(self, worker: WorkerRecord) -> None:
+        """Make the next revision, which changes one worker."""
         self._revision += 1
-        self._changes.add(self._revision, worker)
+        self._changes.add(Change(revision=self._revision, worker=worker))
--- a/src/orchidpath/wire/messages.py
+++ b/src/orchidpath/wire/messages.py
@@ -102,8 +102,9 @@
 class FleetUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="fleet_update"):
     """A newer fleet state, pushed by the leader or answered by a peer.
 
-    With ``view`` set it is whole; otherwise it changes ``base_revision`` into ``revision`` by the
-    workers listed (a GONE one is removed) and nothing else. Lost: the heartbeat reply names a
+    With ``view`` set it is whole; otherwise it changes ``base_revision`` into ``revision`` by what
+    is listed and nothing else: workers (a GONE one is removed), routers, and the witnesses and the
+    configuration where they are not None. Lost: the heartbeat reply names a
     revision that the router lacks and it asks again. Late or duplicated: a revision not above the
     adopted one is ignored, so no router ever goes back.
     """
@@ -113,6 +114,10 @@
     view: FleetView | None = None
     base_revision: int = 0
     workers: tuple[WorkerRecord, ...] = ()
+    routers: tuple[RouterRecord, ...] = ()
+    removed_routers: tuple[str, ...] = ()
+    witnesses: tuple[str, ...] | None = None
+    configuration: Configuration | None = None
 
 
 class FleetUpdateRequest(msgspec.Struct, frozen=True, kw_only=True, tag="fleet_update_request"):
@@ -215,7 +220,7 @@
     GATEWAY = "gateway"
 
 
-class AttemptReport(msgspec.Struct, frozen=True, kw_only=True):
+class AttemptReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """How one attempt ended for one worker. The attempt id makes a repeated report harmless."""
 
     request_id: str
@@ -242,7 +247,7 @@
     term: int
 
 
-class InFlightMark(msgspec.Struct, frozen=True, kw_only=True):
+class InFlightMark(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One attempt still running on a worker, as the router that runs it knows."""
 
     request_id: str
@@ -251,7 +256,7 @@
     age_seconds: float
 
 
-class WorkerTally(msgspec.Struct, frozen=True, kw_only=True):
+class WorkerTally(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A router's own counts for a worker over the health window."""
 
     worker_id: str
--- a/tests/router/test_control_link_parts.py
+++ b/tests/router/test_control_link_parts.py
@@ -1,5 +1,8 @@
 """The pure parts of the router's link to the fleet."""
 
+import msgspec
+
+from orchidpath.router.announced_workers import AnnouncedWorkers
 from orchidpath.router.late_decisions import LateDecisions
 from orchidpath.router.leader_finder import LEADER_SILENT_SECONDS, LeaderFinder
 from orchidpath.router.report_queue import (
@@ -7,6 +10,8 @@
     REPEAT_SECONDS,
     ReportQueue,
 )
+from orchidpath.wire.backend import Announcement
+from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.messages import (
     AttemptEffect,
     AttemptReport,
@@ -15,7 +20,13 @@
     DecisionReply,
     DecisionRequest,
 )
-from orchidpath.wire.records import ControlMember, Stage
+from orchidpath.wire.records import (
+    ControlMember,
+    FleetView,
+    Stage,
+    WorkerRecord,
+    WorkerStatus,
+)
 
 SEEDS = ["s1", "s2", "s3"]
 
@@ -93,3 +104,33 @@
         ("d2", AttemptEffect.GATEWAY, 4)
     ]
     assert late.answered(DecisionReply(correlation=7, term=1, choices=choices)) == []
+
+
+def view(*incarnations: str) -> FleetView:
+    workers = tuple(
+        WorkerRecord(
+            worker_id="w", incarnation=one, service="s", stage=Stage.DECODE, url="http://w"
+        )
+        for one in incarnations
+    )
+    return FleetView(
+        revision=1, configuration_version=1, configuration=Configuration(), workers=workers
+    )
+
+
+def announcement(incarnation: str, sequence: int, status: WorkerStatus) -> Announcement:
+    record = msgspec.structs.replace(view(incarnation).workers[0], status=status)
+    return Announcement(record=record, sequence=sequence)
+
+
+def test_a_view_that_lags_behind_does_not_undo_what_a_worker_said() -> None:
+    announced = AnnouncedWorkers()
+    announced.view_adopted(view("first"))
+    assert announced.heard(announcement("second", 1, WorkerStatus.DRAINING))
+    announced.view_adopted(view("first"))
+    assert announced.is_draining("w")
+    announced.view_adopted(view("second"))
+    assert announced.is_draining("w")
+    assert not announced.heard(announcement("second", 1, WorkerStatus.READY))
+    announced.view_adopted(view("third"))
+    assert not announced.is_draining("w")
--- a/tests/state/test_fleet_state.py
+++ b/tests/state/test_fleet_state.py
@@ -4,6 +4,7 @@
 import pytest
 
 from orchidpath.circuit.transitions import CapacityTransition, CircuitTransition
+from orchidpath.routing.freshness import apply_delta
 from orchidpath.state.commands import (
     CapacityChanged,
     CircuitChanged,
@@ -300,13 +301,26 @@
     ]
 
 
-@pytest.mark.parametrize("command", [order("o9", 0), router("r9")])
-def test_update_since_is_whole_when_more_than_workers_changed(command: Command) -> None:
+@pytest.mark.parametrize("command", [order("o9", 0), router("r9"), RemoveRouter(router_id="r1")])
+def test_update_since_lists_what_changed_and_leads_to_the_whole_view(command: Command) -> None:
     state = FleetState()
+    apply(state, router("r1"))
+    effect(state, changed(1))
+    held = state.view()
     apply(state, command)
+    effect(state, changed(2, status=WorkerStatus.DRAINING))
+    update = state.update_since(held.revision)
+    assert update.view is None
+    assert (update.configuration is not None) == isinstance(command, SubmitConfiguration)
+    assert (update.witnesses is not None) == (not isinstance(command, SubmitConfiguration))
+    assert apply_delta(held, update) == state.view()
+
+
+def test_a_router_that_has_adopted_nothing_gets_the_whole_view() -> None:
+    state = FleetState()
+    assert state.update_since(0).view == state.view()
     effect(state, changed(1))
     assert state.update_since(0).view == state.view()
-    assert state.update_since(1).view is None
 
 
 def test_update_since_is_whole_beyond_the_remembered_changes_and_after_a_restore() -> None:
--- a/tests/state/test_fleet_state_properties.py
+++ b/tests/state/test_fleet_state_properties.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from orchidpath.circuit.transitions import CapacityTransition, CircuitTransition
+from orchidpath.routing.freshness import apply_delta
 from orchidpath.state.commands import (
     CapacityChanged,
     CircuitChanged,
@@ -130,18 +131,7 @@
     if update.view is not None:
         return update.view
     assert update.base_revision == held.revision
-    by_id = {record.worker_id: record for record in held.workers}
-    for record in update.workers:
-        by_id[record.worker_id] = record
-    present = [by_id[key] for key in sorted(by_id) if by_id[key].status is not WorkerStatus.GONE]
-    return FleetView(
-        revision=update.revision,
-        configuration_version=update.configuration_version,
-        configuration=held.configuration,
-        workers=tuple(present),
-        routers=held.routers,
-        witnesses=held.witnesses,
-    )
+    return apply_delta(held, update)
 
 
 @steady
