--- a/src/orchidpath/cli/plan.py
+++ b/src/orchidpath/cli/plan.py
@@ -45,72 +45,38 @@
     _show_preview(body.preview)
 
 
-@plan.command()
-@click.argument("plan_id")
-@_order_id_option
-@control_option
-@_json_option
-@click.pass_context
-def confirm(
-    ctx: click.Context,
-    plan_id: str,
-    order_id: str | None,
-    control_addresses: tuple[str, ...],
-    as_json: bool,
-) -> None:
-    """Let the plan PLAN_ID run; refused if it is not what would be done now."""
-    _order(ctx, PlanAction.CONFIRM, plan_id, order_id, control_addresses, as_json)
-
-
-@plan.command()
-@click.argument("plan_id")
-@_order_id_option
-@control_option
-@_json_option
-@click.pass_context
-def halt(
-    ctx: click.Context,
-    plan_id: str,
-    order_id: str | None,
-    control_addresses: tuple[str, ...],
-    as_json: bool,
-) -> None:
-    """Begin no further step of the plan PLAN_ID; steps that are open go on to their end."""
-    _order(ctx, PlanAction.HALT, plan_id, order_id, control_addresses, as_json)
-
-
-@plan.command()
-@click.argument("plan_id")
-@_order_id_option
-@control_option
-@_json_option
-@click.pass_context
-def resume(
-    ctx: click.Context,
-    plan_id: str,
-    order_id: str | None,
-    control_addresses: tuple[str, ...],
-    as_json: bool,
-) -> None:
-    """Let the halted plan PLAN_ID go on."""
-    _order(ctx, PlanAction.RESUME, plan_id, order_id, control_addresses, as_json)
-
-
-@plan.command()
-@click.argument("plan_id")
-@_order_id_option
-@control_option
-@_json_option
-@click.pass_context
-def cancel(
-    ctx: click.Context,
-    plan_id: str,
-    order_id: str | None,
-    control_addresses: tuple[str, ...],
-    as_json: bool,
-) -> None:
-    """End the plan PLAN_ID; workers that have not been switched keep their part."""
-    _order(ctx, PlanAction.CANCEL, plan_id, order_id, control_addresses, as_json)
+_ORDERS = {
+    PlanAction.CONFIRM: "Let the plan PLAN_ID run; refused if it is not what would be done now.",
+    PlanAction.HALT: (
+        "Begin no further step of the plan PLAN_ID; steps that are open go on to their end."
+    ),
+    PlanAction.RESUME: "Let the halted plan PLAN_ID go on.",
+    PlanAction.CANCEL: (
+        "End the plan PLAN_ID; workers that have not been switched keep their part."
+    ),
+}
+"""Each order about a plan is a command of its own, with this help."""
+
+
+def _add_order_command(action: PlanAction, help_text: str) -> None:
+    @plan.command(name=action.value, help=help_text)
+    @click.argument("plan_id")
+    @_order_id_option
+    @control_option
+    @_json_option
+    @click.pass_context
+    def order(
+        ctx: click.Context,
+        plan_id: str,
+        order_id: str | None,
+        control_addresses: tuple[str, ...],
+        as_json: bool,
+    ) -> None:
+        _order(ctx, action, plan_id, order_id, control_addresses, as_json)
+
+
+for _action, _help_text in _ORDERS.items():
+    _add_order_command(_action, _help_text)
 
 
 def _order(
--- a/src/orchidpath/cli/router.py
+++ b/src/orchidpath/cli/router.py
@@ -4,6 +4,7 @@
 
 import click
 
+from orchidpath.cli.settings_option import settings_file_option
 from orchidpath.common.daemon import run_daemon
 from orchidpath.common.logs import configure_logs
 from orchidpath.common.settings import RouterSettings
@@ -11,14 +12,7 @@
 
 
 @click.command()
-@click.option(
-    "-c",
-    "--config",
-    "settings_file",
-    type=click.Path(path_type=Path),
-    required=True,
-    help="Settings file, TOML or JSON.",
-)
+@settings_file_option
 @click.pass_context
 def router(ctx: click.Context, settings_file: Path) -> None:
     """Run one router process; it needs no disk.
--- /dev/null
+++ b/src/orchidpath/cli/settings_option.py
@@ -0,0 +1,14 @@
+"""The option that names a process's settings file."""
+
+from pathlib import Path
+
+import click
+
+settings_file_option = click.option(
+    "-c",
+    "--config",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="Settings file, TOML or JSON.",
+)
