--- a/src/orchidpath/control/core.py
+++ b/src/orchidpath/control/core.py
@@ -416,7 +416,7 @@
             self._run(effects, now)
             self._collect_duties()
         if self.duties is not None:
-            self.duties.push_updates()
+            self.duties.push_updates(now)
             self._collect_duties()
         self._confirm_orders(now)
         self._compact(now)
--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -45,6 +45,9 @@
 TICK_PERIOD_SECONDS = 0.05
 """Time between two looks at what only time changes."""
 
+PUSH_PERIOD_SECONDS = 0.05
+"""Least time between two pushes of changes; the first change after a calm goes out at once."""
+
 CIRCUITS_PUSH_SECONDS = 0.2
 """Changed circuits are pushed to the routers at most this often."""
 
@@ -114,6 +117,7 @@
         self._next_tick = now
         self._workers_changed = False
         self._pushed_revision = 0
+        self._next_push = now
         self._next_circuits_push = now
         self._next_circuits_repeat = now + CIRCUITS_REPEAT_SECONDS
 
@@ -237,15 +241,17 @@
         if self._state.revision != previous_revision:
             self._revision_changed(now)
 
-    def push_updates(self) -> None:
+    def push_updates(self, now: float) -> None:
         """Push the newest revision to every router that was heard and not sent it yet.
 
-        A router that is heard for the first time asks by itself when it lacks something.
+        A router that is heard for the first time asks by itself when it lacks something. In a storm
+        of changes, such as a fleet that forms, many revisions go out together.
         """
         revision = self._state.revision
-        if revision == self._pushed_revision:
+        if revision == self._pushed_revision or now < self._next_push:
             return
         self._pushed_revision = revision
+        self._next_push = now + PUSH_PERIOD_SECONDS
         updates: dict[int, FleetUpdate] = {}
         for router_id, adopted in self._adopted.items():
             known = max(adopted, self._pushed.get(router_id, 0))
--- a/src/orchidpath/router/control_link.py
+++ b/src/orchidpath/router/control_link.py
@@ -19,7 +19,6 @@
 from orchidpath.router.leader_finder import LeaderFinder
 from orchidpath.router.report_queue import ReportQueue
 from orchidpath.routing.freshness import (
-    ACKNOWLEDGE_SECONDS,
     AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
@@ -330,12 +329,12 @@
                 case ViewAdopted():
                     self._view_adopted(effect.view)
                 case AcknowledgeSoon():
-                    self._acknowledge_soon()
+                    self._acknowledge_soon(effect.delay_seconds)
 
-    def _acknowledge_soon(self) -> None:
+    def _acknowledge_soon(self, delay_seconds: float) -> None:
         if self._acknowledging is None:
             loop = asyncio.get_running_loop()
-            self._acknowledging = loop.call_later(ACKNOWLEDGE_SECONDS, self._acknowledge)
+            self._acknowledging = loop.call_later(delay_seconds, self._acknowledge)
 
     def _acknowledge(self) -> None:
         self._acknowledging = None
--- a/src/orchidpath/routing/freshness.py
+++ b/src/orchidpath/routing/freshness.py
@@ -26,7 +26,13 @@
 """Without an answer of the leader for this long, the witnesses are asked as well."""
 
 ACKNOWLEDGE_SECONDS = 0.01
-"""An adopted view is acknowledged within this time."""
+"""An adopted view is acknowledged within this time, if nothing was acknowledged lately."""
+
+ACKNOWLEDGE_PERIOD_SECONDS = 0.2
+"""Least time between two acknowledgements: in a storm of changes one word about many is enough."""
+
+ASK_AGAIN_SECONDS = 0.25
+"""A router that lacks a revision asks for it once in this time, and not while it gets others."""
 
 REMEMBERED_SENDS = 16
 """How many sent heartbeats or queries are remembered; older ones are past their lease anyway."""
@@ -64,12 +70,14 @@
 
 
 class AcknowledgeSoon(msgspec.Struct, frozen=True):
-    """Call `heartbeat` within ``ACKNOWLEDGE_SECONDS``, once for all views adopted until then.
+    """Call `heartbeat` after ``delay_seconds``, once for all views adopted until then.
 
     The leader waits for this router's word before it calls a revision confirmed; but while a fleet
     forms there are hundreds of revisions a second, and one word about the newest is enough.
     """
 
+    delay_seconds: float
+
 
 FreshnessEffect = SendToLeader | SendToRouter | ViewAdopted | AcknowledgeSoon
 
@@ -130,6 +138,9 @@
         self._leader_answered_at = float("-inf")
         self._witness_answers: dict[str, _WitnessAnswer] = {}
         self._next_heartbeat_at = now
+        self._last_heartbeat_at = float("-inf")
+        self._adopted_at = float("-inf")
+        self._asked_at = float("-inf")
         self._was_fresh = False
 
     @property
@@ -181,6 +192,7 @@
     def heartbeat(self, now: float) -> list[FreshnessEffect]:
         """Send a heartbeat at once, and ask the witnesses if the leader is silent."""
         self._next_heartbeat_at = now + ROUTER_HEARTBEAT_SECONDS
+        self._last_heartbeat_at = now
         effects: list[FreshnessEffect] = [SendToLeader(self._heartbeat_message(now))]
         if now - self._leader_answered_at > LEADER_SILENCE_SECONDS:
             effects.extend(self._ask_witnesses(now))
@@ -200,7 +212,9 @@
             sent_at = now
         behind = reply.revision > self.revision
         if behind and FreshnessGuard.ADOPT_BEFORE_LEASE not in self._disabled:
-            return [SendToLeader(FleetUpdateRequest(adopted_revision=self.revision))]
+            # Most likely the push is on its way; asking at once would double every change.
+            is_getting_others = now - self._adopted_at < ASK_AGAIN_SECONDS
+            return [] if is_getting_others else self._ask(now)
         if reply.registered:
             self._leader_lease_from = max(self._leader_lease_from, sent_at)
         return []
@@ -213,9 +227,12 @@
             return []
         view = self._apply(update)
         if view is None:
-            return [SendToLeader(FleetUpdateRequest(adopted_revision=self.revision))]
+            return self._ask(now)
         self._view = view
-        return [ViewAdopted(view), AcknowledgeSoon()]
+        self._adopted_at = now
+        earliest = self._last_heartbeat_at + ACKNOWLEDGE_PERIOD_SECONDS
+        delay_seconds = max(ACKNOWLEDGE_SECONDS, earliest - now)
+        return [ViewAdopted(view), AcknowledgeSoon(delay_seconds)]
 
     def receive_query(
         self, query: FreshnessQuery, address: str, now: float
@@ -260,6 +277,12 @@
         """Make a query for a seed router, used while no view, and so no witness, is known."""
         return self._query(now)
 
+    def _ask(self, now: float) -> list[FreshnessEffect]:
+        if now - self._asked_at < ASK_AGAIN_SECONDS:
+            return []
+        self._asked_at = now
+        return [SendToLeader(FleetUpdateRequest(adopted_revision=self.revision))]
+
     def _has_leader_lease(self, now: float) -> bool:
         return now - self._leader_lease_from < ROUTER_LEASE_SECONDS
 
--- a/src/orchidpath/simulation/router_node.py
+++ b/src/orchidpath/simulation/router_node.py
@@ -4,7 +4,6 @@
 
 from orchidpath.router.leader_finder import LeaderFinder
 from orchidpath.routing.freshness import (
-    ACKNOWLEDGE_SECONDS,
     AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
@@ -142,17 +141,17 @@
                 case SendToRouter():
                     self.send(effect.address, effect.message)
                 case AcknowledgeSoon():
-                    self._acknowledge_soon()
+                    self._acknowledge_soon(effect.delay_seconds)
                 case ViewAdopted():
                     self.on_view_adopted(effect.view)
 
     def on_view_adopted(self, view: FleetView) -> None:
         """Obey a newly adopted view; a router without requests has nothing to do."""
 
-    def _acknowledge_soon(self) -> None:
+    def _acknowledge_soon(self, delay_seconds: float) -> None:
         if not self._acknowledging:
             self._acknowledging = True
-            self.after(ACKNOWLEDGE_SECONDS, self._acknowledge)
+            self.after(delay_seconds, self._acknowledge)
 
     def _acknowledge(self) -> None:
         assert self.core is not None
--- /dev/null
+++ b/tests/routing/test_freshness.py
@@ -0,0 +1,138 @@
+"""A router's lease and adopted view (docs/design/freshness.md)."""
+
+from orchidpath.routing.freshness import (
+    ACKNOWLEDGE_PERIOD_SECONDS,
+    ACKNOWLEDGE_SECONDS,
+    ASK_AGAIN_SECONDS,
+    AcknowledgeSoon,
+    FreshnessCore,
+    FreshnessEffect,
+    SendToLeader,
+    SendToRouter,
+    ViewAdopted,
+    whole_update,
+)
+from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.messages import (
+    ROUTER_LEASE_SECONDS,
+    FleetUpdate,
+    FleetUpdateRequest,
+    FreshnessQuery,
+    FreshnessReply,
+    RouterHeartbeatReply,
+)
+from orchidpath.wire.records import FleetView, RouterRecord
+
+ROUTERS = tuple(
+    RouterRecord(router_id=name, address=f"{name}:1", http_address=f"{name}:2") for name in "abc"
+)
+
+
+def view(revision: int, routers: tuple[RouterRecord, ...] = ROUTERS) -> FleetView:
+    return FleetView(
+        revision=revision,
+        configuration_version=revision,
+        configuration=Configuration(),
+        routers=routers,
+        witnesses=("a", "b", "c"),
+    )
+
+
+def core(adopted: FleetView | None = None) -> FreshnessCore:
+    one = FreshnessCore(ROUTERS[0], "first", 0.0)
+    if adopted is not None:
+        one.receive_update(whole_update(adopted), 0.0)
+    return one
+
+
+def reply(sequence: int, revision: int, term: int = 1) -> RouterHeartbeatReply:
+    return RouterHeartbeatReply(term=term, sequence=sequence, revision=revision, registered=True)
+
+
+def requests(effects: list[FreshnessEffect]) -> int:
+    sent = [effect.message for effect in effects if isinstance(effect, SendToLeader)]
+    return sum(isinstance(message, FleetUpdateRequest) for message in sent)
+
+
+def test_a_lease_counts_from_when_the_question_was_sent() -> None:
+    one = core(view(1))
+    one.heartbeat(10.0)
+    one.receive_heartbeat_reply(reply(1, 1), 11.2)
+    assert one.is_fresh(10.0 + ROUTER_LEASE_SECONDS - 0.01)
+    assert not one.is_fresh(10.0 + ROUTER_LEASE_SECONDS)
+
+
+def test_an_answer_that_names_a_newer_revision_renews_nothing() -> None:
+    one = core(view(1))
+    one.heartbeat(10.0)
+    effects = one.receive_heartbeat_reply(reply(1, 2), 10.1)
+    assert requests(effects) == 1
+    assert not one.is_fresh(10.1)
+
+
+def test_an_older_term_and_an_older_revision_are_ignored() -> None:
+    one = core(view(5))
+    one.heartbeat(10.0)
+    one.heartbeat(10.1)
+    one.receive_heartbeat_reply(reply(1, 5, term=3), 10.1)
+    one.receive_heartbeat_reply(reply(2, 5, term=2), 11.6)
+    assert not one.is_fresh(11.6)
+    assert one.receive_update(whole_update(view(4)), 10.2) == []
+    assert one.revision == 5
+
+
+def test_witnesses_carry_the_lease_while_the_leader_is_silent() -> None:
+    one = core(view(1))
+    effects = one.heartbeat(10.0)
+    asked = [effect for effect in effects if isinstance(effect, SendToRouter)]
+    assert [effect.router_id for effect in asked] == ["b", "c"]
+    query = asked[0].message
+    assert isinstance(query, FreshnessQuery)
+    for witness in ("b", "c"):
+        answer = FreshnessReply(witness_id=witness, sequence=query.sequence, adopted_revision=1)
+        one.receive_reply(answer, 10.1)
+    assert one.is_fresh(10.2)
+    assert not one.is_fresh(10.0 + ROUTER_LEASE_SECONDS)
+
+
+def test_a_router_off_the_roster_gets_no_lease_from_witnesses() -> None:
+    one = core(view(1, ROUTERS[1:]))
+    one.heartbeat(10.0)
+    for witness in ("b", "c"):
+        answer = FreshnessReply(witness_id=witness, sequence=1, adopted_revision=1)
+        one.receive_reply(answer, 10.1)
+    assert not one.is_fresh(10.2)
+
+
+def test_a_witness_that_was_never_fresh_keeps_silent() -> None:
+    one = core(view(1))
+    query = FreshnessQuery(router_id="b", sequence=1, adopted_revision=0)
+    assert one.receive_query(query, "b:1", 10.0) == []
+    one.heartbeat(10.0)
+    one.receive_heartbeat_reply(reply(1, 1), 10.1)
+    effects = one.receive_query(query, "b:1", 10.2)
+    assert isinstance(effects[0], SendToRouter)
+
+
+def test_a_missing_revision_is_asked_for_once_and_not_while_others_come() -> None:
+    one = core(view(1))
+    gap = FleetUpdate(revision=9, configuration_version=9, base_revision=8)
+    assert requests(one.receive_update(gap, 10.0)) == 1
+    assert requests(one.receive_update(gap, 10.0 + ASK_AGAIN_SECONDS / 2)) == 0
+    assert requests(one.receive_update(gap, 10.0 + ASK_AGAIN_SECONDS)) == 1
+    one.receive_update(whole_update(view(9)), 20.0)
+    one.heartbeat(20.0)
+    assert one.receive_heartbeat_reply(reply(1, 10), 20.1) == []
+    one.heartbeat(20.0 + ASK_AGAIN_SECONDS)
+    assert requests(one.receive_heartbeat_reply(reply(2, 10), 20.0 + ASK_AGAIN_SECONDS)) == 1
+
+
+def test_adopted_views_are_acknowledged_soon_and_together() -> None:
+    one = core()
+    first = one.receive_update(whole_update(view(1)), 10.0)
+    assert first == [ViewAdopted(view(1)), AcknowledgeSoon(ACKNOWLEDGE_SECONDS)]
+    one.heartbeat(10.01)
+    second = one.receive_update(whole_update(view(2)), 10.02)
+    delay = second[1]
+    assert isinstance(delay, AcknowledgeSoon)
+    assert abs(delay.delay_seconds - (ACKNOWLEDGE_PERIOD_SECONDS - 0.01)) < 1e-9
