--- a/bench/hollow_control.py
+++ b/bench/hollow_control.py
@@ -133,7 +133,7 @@
 
 def at_once(seconds: float) -> list[list[Run]]:
     """Return runs in each of which the whole fleet starts together."""
-    sizes = ((45, 90), (90, 180), (180, 360))
+    sizes = ((45, 90), (90, 180), (180, 360), (360, 710))
     return [
         [Run(sweep="at-once", routers=routers, workers=workers, seconds=seconds)]
         for routers, workers in sizes
--- a/src/orchidpath/router/announced_workers.py
+++ b/src/orchidpath/router/announced_workers.py
@@ -48,15 +48,17 @@
         return announced is not None and announced.is_draining
 
     def view_adopted(self, view: FleetView) -> None:
-        """Forget what incarnations have said that were in the view and are no more.
+        """Forget what incarnations have said that were in the view and have been replaced.
 
         An incarnation that no view has listed yet is newer than the view, which lags behind what
-        this router has heard: its word stays.
+        this router has heard: its word stays. So does that of a worker which is only absent: it
+        may have been called gone by mistake and come back as it was.
         """
-        listed = {worker.worker_id: worker.incarnation for worker in view.workers}
-        for worker_id, incarnation in self._listed.items():
+        for worker in view.workers:
+            worker_id = worker.worker_id
+            before = self._listed.get(worker_id)
             announced = self._announced.get(worker_id)
-            was_listed = announced is not None and announced.incarnation == incarnation
-            if was_listed and listed.get(worker_id) != incarnation:
+            was_listed = announced is not None and announced.incarnation == before
+            if was_listed and worker.incarnation != before:
                 del self._announced[worker_id]
-        self._listed = listed
+            self._listed[worker_id] = worker.incarnation
--- a/tests/router/test_control_link_parts.py
+++ b/tests/router/test_control_link_parts.py
@@ -134,3 +134,12 @@
     assert not announced.heard(announcement("second", 1, WorkerStatus.READY))
     announced.view_adopted(view("third"))
     assert not announced.is_draining("w")
+
+
+def test_a_worker_that_is_only_absent_from_a_view_keeps_its_word() -> None:
+    announced = AnnouncedWorkers()
+    announced.view_adopted(view("first"))
+    announced.heard(announcement("first", 2, WorkerStatus.DRAINING))
+    announced.view_adopted(view())
+    announced.view_adopted(view("first"))
+    assert announced.is_draining("w")
