Settings page: a control process has nothing to drain

Cause: the page promised a hand-over of the leadership within drain_seconds; the setting has no effect.

--- a/src/orchidpath/common/settings.py
+++ b/src/orchidpath/common/settings.py
@@ -89,7 +89,7 @@
     log_level
         ``debug``, ``info``, ``warning`` or ``error``.
     drain_seconds
-        How long a graceful stop may take, handing over the leadership included.
+        Kept for files that name it; a control process has nothing to drain and stops at once.
     sync_delay_warning_seconds
         A disk sync slower than this is logged.
     fault_file
