--- /dev/null
+++ b/tests/adapter/test_platform_boundary.py
@@ -0,0 +1,55 @@
+"""Nothing outside `platform/` and `deploy/` knows the platform's names or imports its modules."""
+
+import ast
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from orchidpath.router.forward_dialect import HeaderNames
+from request_dialect import HEADER_NAMES
+
+ROOT = Path(__file__).parents[2]
+SOURCES = sorted((ROOT / "src").rglob("*.py"))
+ADAPTER_MODULES = frozenset(path.stem for path in (ROOT / "platform").glob("*.py"))
+
+OTHER_NAMES = (
+    "kv_handle",
+    "/kv-handle/",
+    "X-Target-Instance",
+    "heartbeat_ms",
+    "heartbeat_addr",
+    "cold_remaining_ms",
+    "ORCHIDPATH_SETTINGS",
+    "policies.toml",
+)
+
+
+def platform_names() -> set[str]:
+    """Return the platform's header names that the product has not chosen too, and others."""
+    own = set(msgspec.structs.asdict(HeaderNames()).values())
+    theirs = set(msgspec.structs.asdict(HEADER_NAMES).values()) - own
+    return {name.decode() for name in theirs} | {name.lower() for name in OTHER_NAMES}
+
+
+def imported_modules(source: str) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+def test_there_are_sources_and_adapter_modules_to_compare() -> None:
+    assert len(SOURCES) > 100
+    assert {"request_dialect", "control_calls", "node_settings"} <= ADAPTER_MODULES
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_the_product_knows_nothing_of_the_platform(path: Path) -> None:
+    source = path.read_text()
+    assert not imported_modules(source) & ADAPTER_MODULES
+    lowered = source.lower()
+    assert [name for name in platform_names() if name in lowered] == []
