Prompts go by the time until they are read; decode workers read no long prompt

Ruled out: memory of the decode workers (no request was preempted), moves of KV cache (35 ms each). Change: reads under way are kept by worker with the worker's own pace, learned from when reads end (placement/read_queues.py); a decode worker holds a prefix once it has answered, is not chosen for more than 6,000 tokens, and one that reads counts as busy; a long prompt that could not be read is refused as not run, with when to come back; a read may take 0.8 of the time left, so that it is not begun anew at the end of its queue.

--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -225,7 +225,7 @@
     def receive_reports(self, router_id: str, reports: AttemptReports, now: float) -> None:
         """Count reports, propose the transitions they cause, and acknowledge them."""
         self._refresh_workers()
-        self.prompts.reported(reports.reports)
+        self.prompts.reported(reports.reports, now)
         for transition in self.circuits.report(reports.reports, now):
             self.proposals.append(CircuitChanged(transition=transition))
         reply = AttemptReportsReply(sequence=reports.sequence, term=self._term)
--- a/src/orchidpath/forwarding/progress.py
+++ b/src/orchidpath/forwarding/progress.py
@@ -17,7 +17,7 @@
 LEAST_RETRY_SECONDS = 0.05
 """With less time left than this no further worker is tried."""
 
-PROMPT_READ_SHARE = 0.6
+PROMPT_READ_SHARE = 0.8
 """A prompt read gets this share of the time that is left.
 
 A read that waits its turn at a busy worker is not given up for another one: the time that it has
--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -1,10 +1,10 @@
 """Where prompts are read: which workers hold a prefix, and how much each has to read; pure.
 
 The leader decides every attempt, so it knows where each shared prefix was read last and what every
-worker still has to read. The cost of a worker for a prompt is the tokens that it must read before
-the prompt is done: what waits there, and the prompt itself without the shared part if the worker
-holds that. The ring gives the order among equals, so a new leader, which knows nothing yet, and a
-router that decides alone choose much the same.
+worker still has to read. The cost of a worker for a prompt is how long it would take until the
+prompt is read: what waits there, and the prompt itself without the shared part if the worker holds
+that, at the worker's own pace. The ring gives the order among equals, so a new leader, which knows
+nothing yet, and a router that decides alone choose much the same.
 
 A prompt may also be read by the decode worker itself, more slowly and between the tokens of its
 streams, but without a hand-over. That is chosen when its cost, so weighed, is lower.
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from orchidpath.placement.read_queues import ReadQueues
 from orchidpath.wire.messages import (
     PROMPT_READ_SUFFIX,
     AttemptReport,
@@ -44,6 +45,12 @@
 quiet days lost 0.07 of their worth: decode workers read while pairs were free.
 """
 
+LONGEST_DIRECT_READ_TOKENS = 6_000
+"""A decode worker is not chosen to read more: nothing else is taken up there meanwhile.
+
+Seen on the bench: 22,000 tokens kept every hand-over to one worker waiting for two seconds.
+"""
+
 HAND_OVER_TOKENS = 1_500
 """Cost of a hand-over, in tokens that could be read meanwhile."""
 
@@ -53,14 +60,19 @@
 STREAM_TOKENS = 500
 """Cost of reading beside one running stream, in tokens."""
 
-READ_TTL_SECONDS = 8.0
-"""A prompt read without a report counts as waiting for this long."""
+WAITING_TOKEN_WEIGHT = 0.5
+"""Cost for a hand-over of a token that a decode worker still has to read itself."""
+
 
+MAX_MOVING = 20_000
+"""Prompts on their way to a decode worker that are remembered."""
+
+
+class _Moving(msgspec.Struct, frozen=True):
+    """A prompt that a decode worker will hold once it has answered."""
 
-class _PendingRead(msgspec.Struct, frozen=True):
     worker_id: str
-    tokens: int
-    since: float
+    prompt: PromptShape
 
 
 class _HeldPrefixes:
@@ -85,8 +97,8 @@
 
     def __init__(self) -> None:
         self._held: dict[str, _HeldPrefixes] = {}
-        self._pending: dict[str, _PendingRead] = {}
-        self._waiting: dict[str, int] = {}
+        self._queues = ReadQueues()
+        self._moving: OrderedDict[str, _Moving] = OrderedDict()
         self._capacity_tokens = DEFAULT_CAPACITY_TOKENS
 
     def set_capacity(self, kv_capacity_tokens: int) -> None:
@@ -97,10 +109,11 @@
         """Forget workers that are gone: a new incarnation holds nothing."""
         for worker_id in [one for one in self._held if one not in worker_ids]:
             del self._held[worker_id]
+        self._queues.set_workers(worker_ids)
 
     def waiting_tokens(self, worker_id: str) -> int:
         """Return the tokens that a worker still has to read, as far as is known."""
-        return self._waiting.get(worker_id, 0)
+        return self._queues.waiting_tokens(worker_id)
 
     def order(
         self, request: DecisionRequest, in_flight: Callable[[str], int], now: float
@@ -123,55 +136,76 @@
         legs = {leg.stage: leg for leg in request.legs}
         if prompt is None or Stage.DECODE not in legs:
             return request
-        self._expire(now)
+        self._queues.expire(now)
         decode = legs[Stage.DECODE]
         prefill = legs.get(Stage.PREFILL)
+
+        def load_cost(worker_id: str) -> float:
+            waiting = WAITING_TOKEN_WEIGHT * self.waiting_tokens(worker_id)
+            return waiting + STREAM_TOKENS * in_flight(worker_id)
+
         if prefill is None:
-            ordered = self._sorted(decode, in_flight)
+            ordered = self._sorted(decode, load_cost)
             return msgspec.structs.replace(request, legs=(ordered,))
 
         def direct_cost(worker_id: str) -> float:
             tokens = self.waiting_tokens(worker_id) + self._tokens_to_read(worker_id, prompt)
             return DIRECT_READ_WEIGHT * tokens + STREAM_TOKENS * in_flight(worker_id)
 
-        prefill = self._order_prefill(prefill, prompt)
+        prefill = self._order_prefill(prefill, prompt, now)
         direct = self._sorted(decode, direct_cost)
-        if self._is_direct(prefill, direct, direct_cost, prompt):
+        if self._is_direct(prefill, direct, direct_cost, prompt, now):
             return msgspec.structs.replace(request, legs=(direct,))
-        ordered = self._sorted(decode, in_flight)
+        ordered = self._sorted(decode, load_cost)
         return msgspec.structs.replace(request, legs=(prefill, ordered))
 
     def decided(self, request: DecisionRequest, reply: DecisionReply, now: float) -> None:
         """Note where a prompt is going to be read, and which workers will hold it."""
         prompt = request.prompt
-        if prompt is None or request.attempt_id in self._pending:
+        if prompt is None or request.attempt_id in self._queues:
             return
         stages = [leg.stage for leg in request.legs]
         for choice in reply.choices:
             if choice.stage is stages[0] and not request.is_read:
-                self._begin(request.attempt_id, choice.worker_id, prompt, now)
-            elif choice.stage is Stage.DECODE:
+                self._queues.begin(
+                    request.attempt_id,
+                    choice.worker_id,
+                    self._tokens_to_read(choice.worker_id, prompt),
+                    now,
+                    shows_pace=choice.stage is Stage.PREFILL,
+                )
+            if choice.stage is Stage.PREFILL:
+                # Reads wait their turn, so whoever comes next finds the prefix there.
                 self._will_hold(choice.worker_id, prompt)
+            elif choice.stage is Stage.DECODE:
+                self._moving[request.attempt_id] = _Moving(choice.worker_id, prompt)
+                if len(self._moving) > MAX_MOVING:
+                    self._moving.popitem(last=False)
 
-    def reported(self, reports: Sequence[AttemptReport]) -> None:
+    def reported(self, reports: Sequence[AttemptReport], now: float) -> None:
         """Note prompt reads that have ended."""
         for report in reports:
             attempt_id = report.attempt_id.removesuffix(PROMPT_READ_SUFFIX)
-            pending = self._pending.get(attempt_id)
-            if pending is not None and pending.worker_id == report.worker_id:
-                self._end(attempt_id, pending)
-
-    def _order_prefill(self, leg: Leg, prompt: PromptShape) -> Leg:
+            was_read = attempt_id != report.attempt_id
+            self._queues.end(attempt_id, report.worker_id, now, was_read=was_read)
+            moving = self._moving.get(attempt_id)
+            if moving is not None and moving.worker_id == report.worker_id:
+                del self._moving[attempt_id]
+                if was_read:
+                    self._will_hold(moving.worker_id, moving.prompt)
+
+    def _order_prefill(self, leg: Leg, prompt: PromptShape, now: float) -> Leg:
         holders = {one for one in leg.candidates if self._holds(one, prompt)}
         if not holders:
             # A former leader, and every router that decides alone, sends it to the first one.
             holders = set(leg.candidates[:1])
 
         def cost(worker_id: str) -> float:
-            tokens = self.waiting_tokens(worker_id) + prompt.own_tokens
-            if worker_id in holders:
-                return tokens
-            return tokens + READ_AGAIN_WEIGHT * prompt.shared_tokens
+            tokens = float(prompt.own_tokens)
+            if worker_id not in holders:
+                tokens += READ_AGAIN_WEIGHT * prompt.shared_tokens
+            wait_seconds = self._queues.wait_seconds(worker_id, now)
+            return wait_seconds + tokens * self._queues.seconds_per_token(worker_id)
 
         return self._sorted(leg, cost)
 
@@ -181,14 +215,18 @@
         direct: Leg,
         direct_cost: Callable[[str], float],
         prompt: PromptShape,
+        now: float,
     ) -> bool:
         """Whether the first decode candidate reads the prompt at a lower cost than a pair."""
         if not prefill.candidates or not direct.candidates:
             return False
+        if self._tokens_to_read(direct.candidates[0], prompt) > LONGEST_DIRECT_READ_TOKENS:
+            return False
         first = prefill.candidates[0]
         total_tokens = prompt.own_tokens + prompt.shared_tokens
+        wait_seconds = self._queues.wait_seconds(first, now)
         pair_cost = (
-            self.waiting_tokens(first)
+            wait_seconds / self._queues.typical_seconds_per_token()
             + self._tokens_to_read(first, prompt)
             + HAND_OVER_TOKENS
             + MOVED_TOKEN_WEIGHT * total_tokens
@@ -213,29 +251,8 @@
             return prompt.own_tokens
         return prompt.own_tokens + prompt.shared_tokens
 
-    def _begin(self, attempt_id: str, worker_id: str, prompt: PromptShape, now: float) -> None:
-        tokens = self._tokens_to_read(worker_id, prompt)
-        self._pending[attempt_id] = _PendingRead(worker_id, tokens, now)
-        self._waiting[worker_id] = self._waiting.get(worker_id, 0) + tokens
-        self._will_hold(worker_id, prompt)
-
     def _will_hold(self, worker_id: str, prompt: PromptShape) -> None:
         if prompt.shared_tokens:
             held = self._held.setdefault(worker_id, _HeldPrefixes())
             capacity_tokens = int(self._capacity_tokens * CAPACITY_SHARE)
             held.use(prompt.prefix_key, prompt.shared_tokens, capacity_tokens)
-
-    def _end(self, attempt_id: str, pending: _PendingRead) -> None:
-        del self._pending[attempt_id]
-        left = self.waiting_tokens(pending.worker_id) - pending.tokens
-        if left > 0:
-            self._waiting[pending.worker_id] = left
-        else:
-            self._waiting.pop(pending.worker_id, None)
-
-    def _expire(self, now: float) -> None:
-        for attempt_id, pending in list(self._pending.items()):
-            if now - pending.since < READ_TTL_SECONDS:
-                # The oldest come first.
-                return
-            self._end(attempt_id, pending)
--- a/src/orchidpath/router/forward_attempts.py
+++ b/src/orchidpath/router/forward_attempts.py
@@ -122,7 +122,7 @@
         return self._take_choices(attempt_id, made)
 
     def prompt_read(self, chosen: Chosen) -> None:
-        """Tell the leader that a prompt was read; how the attempt ended is reported later."""
+        """Tell the leader that a worker holds the prompt now; its attempt goes on."""
         self._environment.decisions.note_prompt_read(
             self._facts.request_id, chosen.attempt_id, chosen.worker.worker_id
         )
--- a/src/orchidpath/router/forward_runner.py
+++ b/src/orchidpath/router/forward_runner.py
@@ -10,6 +10,7 @@
 
 from orchidpath.circuit.classification import Observed
 from orchidpath.forwarding.progress import FailureKind, FinalStatus, ForwardProgress, ReturnTime
+from orchidpath.placement.prompts import LONGEST_DIRECT_READ_TOKENS
 from orchidpath.router.decision_maker import DecisionSubject
 from orchidpath.router.forward_attempts import (
     Chosen,
@@ -114,6 +115,7 @@
         shortest = environment.state.configuration.admission.direct_prompt_tokens
         self._wants_pair = self._is_model and facts.prompt_tokens > shortest
         self._reads_prompt = self._wants_pair
+        self._hand_over_was_lost = False
         self._committed = False
 
     async def run(self) -> None:
@@ -133,6 +135,8 @@
         for _ in range(MAX_ROUNDS):
             now = self._clock()
             reads = self._wants_prompt_read(now)
+            if not reads and not self._may_leave_read_to_decode():
+                raise DeniedError("the prompt can't be read now")
             chosen = await self._decide(reads)
             if chosen is None:
                 continue
@@ -155,6 +159,20 @@
             return False
         return self._progress.may_read_prompt(now)
 
+    def _may_leave_read_to_decode(self) -> bool:
+        """Whether a decode worker may read the prompt itself, if it still has to be read.
+
+        Nothing else is taken up there meanwhile, so a long one is refused as long as prefill
+        workers are there: the caller comes back.
+        """
+        if self._prompt is not None or not self._wants_pair or self._hand_over_was_lost:
+            return True
+        if self._facts.prompt_tokens <= LONGEST_DIRECT_READ_TOKENS:
+            return True
+        return not self._environment.state.selector.eligible(
+            self._service, Stage.PREFILL, self._model
+        )
+
     async def _decide(self, reads: bool) -> dict[Stage, Chosen] | None:
         """Have a worker chosen for each leg; None when the round is to be begun anew."""
         stages: tuple[Stage, ...] = (Stage.PLAIN,)
@@ -228,7 +246,7 @@
             self._progress.prompt_read_failed(self._clock())
         self._attempts.failed(chosen, observed, status)
         self._attempts.end_all(Observed.GATEWAY_FAULT)
-        if not self._progress.has_workers_left() or observed is Observed.TIMED_OUT:
+        if not self._progress.has_workers_left():
             # A decode worker can read the prompt itself, without a further worker.
             self._reads_prompt = False
         return False
@@ -279,6 +297,8 @@
             await self._drop(chosen, connection, first)
             return self._refused(chosen, head, facts)
         self._handed_over()
+        if self._is_model:
+            self._attempts.prompt_read(chosen)
         if not self._may_pass_on(head, facts):
             connection.close()
             return self._order_failed(
@@ -327,6 +347,7 @@
         if had_source and not is_full:
             # The KV cache could not be had. The worker itself can serve, and reads the prompt.
             self._hand_over_failed()
+            self._hand_over_was_lost = True
             self._reads_prompt = False
             return self._order_failed(
                 chosen, FailureKind.REFUSED, Observed.HAND_OVER_UNDECIDED, tries_again=True
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -135,6 +135,26 @@
                 await asyncio.sleep(0.01)
 
 
+async def test_a_long_prompt_that_was_not_read_is_refused_and_left_to_no_decode_worker(
+    tmp_path: Path,
+) -> None:
+    """Seen on the bench: reads of 20,000 and more tokens held up every stream's begin there."""
+    prefill, decode = pair()
+    routes = json.loads(document(1))["routes"]
+    once = {**routes[1], "max_attempts": 1}
+    async with running(tmp_path, prefill, decode) as world:
+        changed = await world.put_configuration(document(3, routes=[routes[0], once]), 2)
+        assert changed.status == 200
+        await world.request_until_served("/advice/x", headers=MODEL)
+        decode.arrivals.clear()
+        prefill.answers.append(run_and_break)
+        long = {**MODEL, "X-Token-Usage": "9000,10"}
+        response, _ = await world.request("/advice/x", headers=long)
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+        assert decode.arrivals == []
+
+
 async def test_a_request_without_a_prompt_never_visits_a_prefill_worker(tmp_path: Path) -> None:
     """Seen on the bench: after a failed run on a busy decode worker it ran on a prefill worker."""
     prefill = StandInWorker("p", "wine-llm", "prefill")
--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from orchidpath.placement.prompts import READ_TTL_SECONDS, PromptPlacement
+from orchidpath.placement.prompts import PromptPlacement
+from orchidpath.placement.read_queues import READ_TTL_SECONDS
 from orchidpath.wire.messages import (
     PROMPT_READ_SUFFIX,
     AttemptEffect,
@@ -58,14 +59,16 @@
     return {choice.stage: choice.worker_id for choice in choices}
 
 
-def read(placement: PromptPlacement, asked: DecisionRequest, worker_id: str) -> None:
+def read(
+    placement: PromptPlacement, asked: DecisionRequest, worker_id: str, now: float = 0.0
+) -> None:
     report = AttemptReport(
         request_id=asked.request_id,
         attempt_id=asked.attempt_id + PROMPT_READ_SUFFIX,
         worker_id=worker_id,
         effect=AttemptEffect.GATEWAY,
     )
-    placement.reported([report])
+    placement.reported([report], now)
 
 
 def test_a_new_leader_follows_the_ring() -> None:
@@ -163,3 +166,40 @@
     asked = msgspec.structs.replace(request(1), legs=(request(1).legs[1],), is_read=True)
     place(placement, asked)
     assert placement.waiting_tokens("d1") == 0
+
+
+def busy(placement: PromptPlacement) -> None:
+    """Give every prefill worker much to read."""
+    for number, worker_id in enumerate(RING):
+        place(placement, request(number, prefix=number + 20, own=60_000, ring=(worker_id,)))
+
+
+def test_a_decode_worker_reads_no_long_prompt_however_busy_the_others_are() -> None:
+    # Seen on the bench: 22,000 tokens kept all hand-overs to a worker waiting for two seconds.
+    placement = PromptPlacement()
+    busy(placement)
+    assert Stage.PREFILL in place(placement, request(9, shared=0, own=9_000))
+
+
+def test_a_decode_worker_holds_a_prefix_once_it_has_answered() -> None:
+    placement = PromptPlacement()
+    asked = request(1)
+    decoder = place(placement, asked)[Stage.DECODE]
+    busy(placement)
+    again = request(9, own=500)
+    assert Stage.PREFILL in place(placement, again)
+    read(placement, asked, decoder)
+    assert place(placement, request(10, own=500)) == {Stage.DECODE: decoder}
+
+
+def test_a_slow_worker_gets_fewer_prompts() -> None:
+    placement = PromptPlacement()
+    now = 0.0
+    for number in range(12):
+        asked = request(number, prefix=number + 100, ring=(RING[number % 2],))
+        worker_id = place(placement, asked, now)[Stage.PREFILL]
+        seconds = 2.0 if worker_id == "p1" else 0.4
+        read(placement, asked, worker_id, now + seconds)
+        now += seconds
+    fresh = request(50, prefix=7, shared=0, own=10_000, ring=("p1", "p2"))
+    assert place(placement, fresh, now)[Stage.PREFILL] == "p2"
