--- a/src/orchidpath/cli/main.py
+++ b/src/orchidpath/cli/main.py
@@ -18,6 +18,7 @@
     "fleet": "orchidpath.cli.fleet",
     "plan": "orchidpath.cli.plan",
     "replay": "orchidpath.cli.replay",
+    "report": "orchidpath.cli.report",
     "router": "orchidpath.cli.router",
     "simulate": "orchidpath.cli.simulate",
     "standin": "orchidpath.cli.standin",
--- /dev/null
+++ b/src/orchidpath/cli/report.py
@@ -0,0 +1,93 @@
+"""``orchidpath report``: the path of measured figures, from the journal of the users' bench."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import click
+
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.tools.journal import JournalEntry, read_journal
+
+COMMIT_CHARACTERS = 7
+"""Characters of a commit's hash that are printed."""
+
+
+class PlottingMissingError(OrchidpathError):
+    """The library that draws plots is not installed."""
+
+
+@click.command()
+@click.option(
+    "--journal",
+    "folder",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default=Path("journal"),
+    show_default=True,
+    help="Folder of the journal.",
+)
+@click.option("--site", help="Only runs of this deployment.")
+@click.option("--trials", is_flag=True, help="Also runs of sources that were not committed.")
+@click.option(
+    "--plot",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Draw the scores into this file; needs the extra 'plot'.",
+)
+def report(folder: Path, site: str | None, trials: bool, plot: Path | None) -> None:
+    """Print scores and hunts from a journal, oldest first."""
+    entries = [
+        entry
+        for entry in read_journal(folder)
+        if entry.site and (site is None or entry.site == site) and (trials or not entry.is_trial)
+    ]
+    scores = [entry for entry in entries if entry.command == "score" and entry.score is not None]
+    hunts = [entry for entry in entries if entry.command == "hunt" and entry.days]
+    for entry in scores:
+        click.echo(score_line(entry))
+    for entry in hunts:
+        click.echo(hunt_line(entry))
+    if plot is not None:
+        draw(scores, plot)
+        click.echo(f"drawn: {plot}")
+
+
+def score_line(entry: JournalEntry) -> str:
+    """Return the line of a score."""
+    days = " ".join(f"{day.worth:.2f}" for day in entry.days if day.worth is not None)
+    kind = "quick" if entry.is_quick else "full "
+    gate = "passed" if entry.has_passed else "FAILED"
+    return (
+        f"{entry.at[0]}  score {kind}  {entry.site:<22} {entry.score:.3f}  gate {gate}  "
+        f"{entry.head[:COMMIT_CHARACTERS]}  worth of days: {days}"
+    )
+
+
+def hunt_line(entry: JournalEntry) -> str:
+    """Return the line of a hunt."""
+    return (
+        f"{entry.at[0]}  hunt         {entry.site:<22} {len(entry.days)} days, "
+        f"{entry.days_with_broken_rules} with a rule broken  {entry.head[:COMMIT_CHARACTERS]}"
+    )
+
+
+def draw(scores: Sequence[JournalEntry], path: Path) -> None:
+    """Draw the scores of every deployment in the order of the runs.
+
+    Raises
+    ------
+    PlottingMissingError
+        The extra 'plot' is not installed.
+    """
+    try:
+        from matplotlib.figure import Figure  # an extra; only this function needs it
+    except ImportError as error:
+        raise PlottingMissingError("install the extra 'plot': orchidpath[plot]") from error
+    figure = Figure(figsize=(9, 4), layout="constrained")
+    axes = figure.subplots()
+    for site in sorted({entry.site or "" for entry in scores}):
+        own = [entry for entry in scores if entry.site == site]
+        axes.plot(range(1, len(own) + 1), [entry.score or 0.0 for entry in own], "o-", label=site)
+    axes.set_xlabel("scored run")
+    axes.set_ylabel("score")
+    axes.set_ylim(0.0, 1.05)
+    axes.legend()
+    figure.savefig(path)
--- /dev/null
+++ b/src/orchidpath/tools/journal.py
@@ -0,0 +1,118 @@
+"""Reads the journal of measured runs: one JSON file a run, as the users' bench writes it."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from orchidpath.common.errors import OrchidpathError
+
+
+class JournalDay(msgspec.Struct, frozen=True, kw_only=True):
+    """One played day.
+
+    Attributes
+    ----------
+    name
+        Name of the day.
+    worth
+        Credit earned over credit owed, less prices.
+    score
+        Where the worth lies between the day's marks, 0 to 1; None for a day without marks.
+    rules
+        Broken rules, with how often.
+    """
+
+    name: str = ""
+    worth: float | None = msgspec.field(name="G", default=None)
+    score: float | None = None
+    rules: dict[str, Any] = {}
+
+
+class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """One run of the bench.
+
+    Attributes
+    ----------
+    id
+        Random part of the file's name.
+    at
+        When it began and ended, ISO 8601.
+    command
+        What was run: ``score``, ``run``, ``hunt`` and others.
+    arguments
+        Its arguments.
+    why
+        What the run was for.
+    head
+        Commit that was measured.
+    dirty
+        Whether the sources differed from that commit.
+    site
+        Deployment; empty for a run that was cut off.
+    figures
+        Figures by name; ``gate`` is 1 where a deployment passed.
+    score
+        Score of the deployment; None for other commands.
+    days
+        The days that were played.
+    """
+
+    id: str
+    at: tuple[str, str]
+    command: str = msgspec.field(name="cmd")
+    arguments: tuple[str, ...] = msgspec.field(name="argv", default=())
+    why: str = ""
+    head: str = ""
+    dirty: bool = False
+    site: str | None = None
+    figures: dict[str, float] = {}
+    score: float | None = None
+    days: tuple[JournalDay, ...] = ()
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether the run was one of a scratch copy or of sources that were not committed."""
+        return self.dirty or self.why.startswith("trial")
+
+    @property
+    def has_passed(self) -> bool:
+        """Whether the deployment passed its gate."""
+        return self.figures.get("gate", 0.0) >= 1.0
+
+    @property
+    def is_quick(self) -> bool:
+        """Whether only the light days were played."""
+        return "--quick" in self.arguments
+
+    @property
+    def days_with_broken_rules(self) -> int:
+        """Days on which a rule was broken."""
+        return sum(1 for day in self.days if day.rules)
+
+
+class DamagedJournalError(OrchidpathError):
+    """A file of the journal is no entry."""
+
+
+def read_journal(folder: Path) -> list[JournalEntry]:
+    """Return all entries of a journal, oldest first.
+
+    Parameters
+    ----------
+    folder
+        Folder with the ``*.json`` files of the entries.
+
+    Raises
+    ------
+    DamagedJournalError
+        A file cannot be read as an entry.
+    """
+    decoder = msgspec.json.Decoder(JournalEntry)
+    entries = []
+    for path in sorted(folder.glob("*.json")):
+        try:
+            entries.append(decoder.decode(path.read_bytes()))
+        except (OSError, msgspec.MsgspecError) as error:
+            raise DamagedJournalError(f"{path.name}: {error}") from error
+    return sorted(entries, key=lambda entry: entry.at[0])
--- /dev/null
+++ b/tests/cli/test_report.py
@@ -0,0 +1,88 @@
+"""``orchidpath report`` prints the path of figures from a journal."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from orchidpath.cli.main import orchidpath
+from orchidpath.common.daemon import ExitCode
+from orchidpath.tools.journal import read_journal
+
+
+def write_entry(folder: Path, name: str, **fields: Any) -> None:
+    entry = {
+        "id": name,
+        "at": ["2026-12-02T08:00:00Z", "2026-12-02T08:01:00Z"],
+        "cmd": "score",
+        "argv": ["site.toml"],
+        "why": "full score",
+        "head": "0123456789abcdef",
+        "dirty": False,
+        "site": "orchid",
+        "ok": True,
+        "score": 0.5,
+        "figures": {"gate": 1.0},
+        "days": [{"G": 0.75, "name": "quiet-1", "score": 0.9, "rules": {}}],
+        "unknown_field": 1,
+    }
+    (folder / f"{name}.json").write_text(json.dumps({**entry, **fields}))
+
+
+def run_report(folder: Path, *options: str) -> tuple[int, str]:
+    result = CliRunner().invoke(orchidpath, ["report", "--journal", str(folder), *options])
+    return result.exit_code, result.output
+
+
+def test_scores_and_hunts_are_printed_oldest_first(tmp_path: Path) -> None:
+    write_entry(tmp_path, "b", at=["2026-12-03T08:00:00Z", ""], score=0.625)
+    write_entry(tmp_path, "a")
+    broken = {"G": 0.0, "name": "mix", "rules": {"TWICE": 1}}
+    write_entry(tmp_path, "c", cmd="hunt", score=None, days=[broken, broken])
+    exit_code, output = run_report(tmp_path)
+    lines = output.splitlines()
+    assert exit_code == ExitCode.OK
+    assert "0.500" in lines[0]
+    assert "0.625" in lines[1]
+    assert "gate passed  0123456  worth of days: 0.75" in lines[0]
+    assert "2 days, 2 with a rule broken" in lines[2]
+
+
+def test_trials_are_left_out_unless_asked_for(tmp_path: Path) -> None:
+    write_entry(tmp_path, "a", why="trial: another weight")
+    write_entry(tmp_path, "b", dirty=True)
+    assert run_report(tmp_path) == (ExitCode.OK, "")
+    assert len(run_report(tmp_path, "--trials")[1].splitlines()) == 2
+
+
+def test_a_failed_gate_and_other_sites(tmp_path: Path) -> None:
+    write_entry(tmp_path, "a", figures={"gate": 0.0})
+    write_entry(tmp_path, "b", site="other")
+    output = run_report(tmp_path, "--site", "orchid")[1]
+    assert "gate FAILED" in output
+    assert "other" not in output
+
+
+def test_a_damaged_entry_is_named(tmp_path: Path) -> None:
+    (tmp_path / "bad.json").write_text("{")
+    exit_code, output = run_report(tmp_path)
+    assert exit_code == ExitCode.FAILED
+    assert "bad.json" in output
+
+
+def test_without_the_extra_a_plot_is_refused_with_a_hint(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(sys.modules, "matplotlib.figure", None)
+    write_entry(tmp_path, "a")
+    exit_code, output = run_report(tmp_path, "--plot", str(tmp_path / "plot.svg"))
+    assert exit_code == ExitCode.FAILED
+    assert "orchidpath[plot]" in output
+
+
+def test_the_journal_of_this_repository_can_be_read() -> None:
+    entries = read_journal(Path(__file__).parents[2] / "journal")
+    assert any(entry.command == "score" for entry in entries)
