The last worker of a service decodes

Change: with one worker, it decodes; without a decode worker the fleet waits 0.5 s and not 1.5 s before it moves one.

--- a/src/orchidpath/control/stage_balancer.py
+++ b/src/orchidpath/control/stage_balancer.py
@@ -17,7 +17,7 @@
 from orchidpath.state.machine import FleetState
 from orchidpath.wire.backend import OrderKind, WorkerOrder, WorkerOrderReply
 from orchidpath.wire.configuration import Service
-from orchidpath.wire.records import Stage, WorkerRecord
+from orchidpath.wire.records import Stage, WorkerRecord, WorkerStatus
 
 BALANCE_PERIOD_SECONDS = 0.25
 """Time between two looks at the split."""
@@ -28,6 +28,9 @@
 CALM_SECONDS = 1.5
 """The set of workers must have been the same for this long before a move begins."""
 
+URGENT_CALM_SECONDS = 0.5
+"""The same while no worker decodes, so that nothing is served."""
+
 HOLD_SECONDS = 2.5
 """Bound on the wait until every serving router knows of a hold."""
 
@@ -135,7 +138,12 @@
         if self._known.get(service.name) != names:
             self._known[service.name] = names
             self._known_since[service.name] = now
-        if now - self._known_since[service.name] < CALM_SECONDS:
+        decodes = any(
+            worker.stage is Stage.DECODE and worker.status is WorkerStatus.READY
+            for worker in workers
+        )
+        calm_seconds = CALM_SECONDS if decodes else URGENT_CALM_SECONDS
+        if now - self._known_since[service.name] < calm_seconds:
             return
         moving = {worker_id: move.stage for worker_id, move in self._moves.items()}
         for move in next_moves(service, workers, moving, self._in_flight(now)):
--- a/src/orchidpath/placement/balance.py
+++ b/src/orchidpath/placement/balance.py
@@ -38,7 +38,9 @@
     """
     share = math.ceil(service.balanced_decode_share * workers - 1e-9)
     wanted = max(share, service.least_decode_workers)
-    return max(min(wanted, workers - 1), 0)
+    # A worker that decodes can read prompts too; one that reads prompts serves nobody alone.
+    most = max(workers - 1, min(workers, 1))
+    return min(wanted, most)
 
 
 def next_moves(
--- a/tests/control/test_stage_balancer.py
+++ b/tests/control/test_stage_balancer.py
@@ -7,6 +7,7 @@
     MOVE_SECONDS,
     ORDER_REPEAT_SECONDS,
     TAKEOVER_SECONDS,
+    URGENT_CALM_SECONDS,
     StageBalancer,
 )
 from orchidpath.state.commands import (
@@ -157,6 +158,15 @@
     assert world.held() == []
 
 
+def test_without_a_decode_worker_little_time_is_lost() -> None:
+    world = World(prefill=3, decode=0)
+    world.run(TAKEOVER_SECONDS)
+    world.announce("w9", Stage.PREFILL, 1)
+    world.run(URGENT_CALM_SECONDS + 4 * STEP_SECONDS)
+    assert world.orders
+    assert world.orders[0].stage is Stage.DECODE
+
+
 def test_a_leaving_worker_ends_its_move() -> None:
     world = World(prefill=4, decode=3)
     world.run(TAKEOVER_SECONDS + CALM_SECONDS + 1.0)
