Simulation: what routers have adopted counts as agreed

Worker w7 came back at revision 36; the leader committed and pushed that and lost its lease in the same turn, so no leader with a lease ever showed revision 36 to the check, which went on counting from the worker's end at revision 29. Every router had adopted 36. Ruled out: the limit stated in docs/design/freshness.md (the witnesses were reachable), a router off its lease. Change: the check learns the agreed workers from a router that adopts a newer view as well.

--- a/src/orchidpath/simulation/request_fleet.py
+++ b/src/orchidpath/simulation/request_fleet.py
@@ -26,7 +26,7 @@
     Service,
     ServiceKind,
 )
-from orchidpath.wire.records import Stage, WorkerRecord
+from orchidpath.wire.records import FleetView, Stage, WorkerRecord
 
 MODEL_SERVICE = "chat"
 PLAIN_SERVICE = "plain"
@@ -129,7 +129,7 @@
             disabled.path,
             disabled.request,
         )
-        router.on_adopted = self._check_in_force
+        router.on_adopted = self._view_adopted
         self.serving.append(router)
         return router
 
@@ -171,11 +171,24 @@
             return
         view = core.state.view()
         if view.revision != self._agreed_revision:
-            self._agreed_revision = view.revision
-            self.requests.agreed(view.revision, view.workers)
-            self._witnesses = view.witnesses
+            self._note_agreed(view)
             self._check_in_force()
 
+    def _view_adopted(self, view: FleetView) -> None:
+        """Learn what is agreed from a router too.
+
+        A leader may commit and push a revision in the same turn in which its lease ends, and then
+        no control process has shown it to the checks when the first router obeys it.
+        """
+        if view.revision > self._agreed_revision:
+            self._note_agreed(view)
+        self._check_in_force()
+
+    def _note_agreed(self, view: FleetView) -> None:
+        self._agreed_revision = view.revision
+        self.requests.agreed(view.revision, view.workers)
+        self._witnesses = view.witnesses
+
     def _check_in_force(self) -> None:
         """Tell the history of the newest revision that every set of witnesses obeys by majority.
 
--- a/src/orchidpath/simulation/serving_router.py
+++ b/src/orchidpath/simulation/serving_router.py
@@ -86,7 +86,7 @@
         self.path_guards = path_guards
         self.request_guards = request_guards
         self.last_frozen_at = float("-inf")
-        self.on_adopted: Callable[[], None] = lambda: None
+        self.on_adopted: Callable[[FleetView], None] = lambda _view: None
         self._term = 0
 
     def on_start(self) -> None:
@@ -126,7 +126,7 @@
         """Obey a newly adopted view."""
         self.access.view_adopted(view)
         self.state.adopt(view)
-        self.on_adopted()
+        self.on_adopted(view)
 
     def on_message(self, sender_id: str, message: Message) -> None:
         """Take a message as the control link does."""
--- a/tests/simulation/test_request_simulation.py
+++ b/tests/simulation/test_request_simulation.py
@@ -5,9 +5,12 @@
 import sys
 from functools import cache
 
+import msgspec
 import pytest
 
 from orchidpath.cli.simulate import GUARD_NAMES, disabled_guards
+from orchidpath.simulation.fleet_simulation import AGENCY, DisabledGuards
+from orchidpath.simulation.request_fleet import RequestFleet
 from orchidpath.simulation.scenarios import (
     REQUESTS_PER_SECOND,
     Scenario,
@@ -118,3 +121,20 @@
         [sys.executable, "-c", code], env=environment, capture_output=True, text=True, check=True
     )
     assert there.stdout.strip() == here
+
+
+def test_a_worker_is_back_once_a_router_has_adopted_that() -> None:
+    """Seed 918317 of an earlier state: the leader lost its lease right after it had pushed that."""
+    fleet = RequestFleet(1, AGENCY, DisabledGuards())
+    fleet.start()
+    router = fleet.serving[0]
+    view = router.view
+    assert view is not None
+    back = view.workers[0]
+    key = (back.worker_id, back.incarnation)
+    gone_revision = view.revision + 1
+    fleet.requests.agreed(gone_revision, view.workers[1:])
+    fleet.requests.in_force(gone_revision)
+    assert key in fleet.requests._unusable
+    router.on_view_adopted(msgspec.structs.replace(view, revision=gone_revision + 1))
+    assert key not in fleet.requests._unusable
