A request waits while its shared part is being read; a read that hangs is given up

Ruled out: workers without memory (none preempted); routers that decide alone (the leader decided them all). Change: the leader postpones a request whose best worker is reading its shared part, and the router asks again after 0.03 to 0.15 s, for 2 s at most. The leader says how long a read is expected to take; one that takes over three times that and 1.2 s more is given up. A worker that may run a request again is given up sooner (twice the target latency).

--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -212,11 +212,23 @@
         """Decide one attempt, after a committed transition if it would be a probe."""
         self._refresh_workers()
         request = self.prompts.order(request, self.circuits.in_flight, now)
+        postponed_seconds = self.prompts.postponed_seconds(request, now)
+        if postponed_seconds > 0:
+            postponed = DecisionReply(
+                correlation=request.correlation,
+                term=self._term,
+                denial=Denial.POSTPONED,
+                retry_after_seconds=postponed_seconds,
+            )
+            self.outbox.append(SendToNode(router_id, postponed))
+            return
         answer = self.circuits.decide(request, now)
         if isinstance(answer, Decided):
-            self.prompts.decided(request, answer.reply, now)
             reply = msgspec.structs.replace(
-                answer.reply, correlation=request.correlation, term=self._term
+                answer.reply,
+                correlation=request.correlation,
+                term=self._term,
+                expected_read_seconds=self.prompts.decided(request, answer.reply, now),
             )
             self.outbox.append(SendToNode(router_id, reply))
             return
--- a/src/orchidpath/forwarding/progress.py
+++ b/src/orchidpath/forwarding/progress.py
@@ -24,10 +24,17 @@
 waited would be lost, and the other worker would read shared parts that the first one holds.
 """
 
-FIRST_ANSWER_LATENCY_FACTOR = 4.0
+READ_PATIENCE_FACTOR = 3.0
+READ_PATIENCE_SECONDS = 1.2
+"""A read that takes so many times as long as expected, and this, is at a worker that hangs.
+
+Callers of streams do not wait for their deadline: they give up after a few target latencies.
+"""
+
+FIRST_ANSWER_LATENCY_FACTOR = 2.0
 """A request that may be repeated gives a silent worker up after this many target latencies."""
 
-SHORTEST_PATIENCE_SECONDS = 2.0
+SHORTEST_PATIENCE_SECONDS = 1.5
 """No worker is given up sooner than this for being silent."""
 
 
@@ -142,9 +149,20 @@
         extra_reads = max(self._prompt_reads - 1, 0)
         return len(self._workers) + extra_reads < self._route.max_attempts
 
-    def prompt_read_seconds(self, now: float) -> float:
-        """Return how long a prompt read may take from now on."""
-        return max(self.time_left(now) * PROMPT_READ_SHARE, 0.0)
+    def prompt_read_seconds(self, now: float, expected_seconds: float = 0.0) -> float:
+        """Return how long a prompt read may take from now on.
+
+        Parameters
+        ----------
+        now
+            Monotonic seconds.
+        expected_seconds
+            How long it is expected to take; 0 when nothing is known.
+        """
+        longest = max(self.time_left(now) * PROMPT_READ_SHARE, 0.0)
+        if expected_seconds <= 0:
+            return longest
+        return min(longest, READ_PATIENCE_SECONDS + READ_PATIENCE_FACTOR * expected_seconds)
 
     def first_answer_seconds(self, now: float) -> float:
         """Return how long to wait for the first byte of an answer from now on.
--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -64,15 +64,20 @@
 """Cost for a hand-over of a token that a decode worker still has to read itself."""
 
 
-MAX_MOVING = 20_000
-"""Prompts on their way to a decode worker that are remembered."""
+MAX_AWAITED = 40_000
+"""Prompts that workers will hold soon and that are remembered."""
 
+LEAST_AWAITED_TOKENS = 2_000
+"""Nobody waits for the read of a shorter shared part."""
 
-class _Moving(msgspec.Struct, frozen=True):
-    """A prompt that a decode worker will hold once it has answered."""
+LONGEST_POSTPONEMENT_SECONDS = 0.15
+"""A postponed request asks again after this long at the latest."""
 
-    worker_id: str
-    prompt: PromptShape
+SHORTEST_POSTPONEMENT_SECONDS = 0.03
+"""A postponed request does not ask again sooner."""
+
+OVERDUE_SECONDS = 1.0
+"""Nobody waits longer for a read that should have ended."""
 
 
 class _HeldPrefixes:
@@ -98,7 +103,8 @@
     def __init__(self) -> None:
         self._held: dict[str, _HeldPrefixes] = {}
         self._queues = ReadQueues()
-        self._moving: OrderedDict[str, _Moving] = OrderedDict()
+        self._awaited: OrderedDict[tuple[str, str], PromptShape] = OrderedDict()
+        self._reading: dict[tuple[str, int], str] = {}
         self._capacity_tokens = DEFAULT_CAPACITY_TOKENS
 
     def set_capacity(self, kv_capacity_tokens: int) -> None:
@@ -109,6 +115,8 @@
         """Forget workers that are gone: a new incarnation holds nothing."""
         for worker_id in [one for one in self._held if one not in worker_ids]:
             del self._held[worker_id]
+        for key in [one for one in self._reading if one[0] not in worker_ids]:
+            del self._reading[key]
         self._queues.set_workers(worker_ids)
 
     def waiting_tokens(self, worker_id: str) -> int:
@@ -159,28 +167,63 @@
         ordered = self._sorted(decode, load_cost)
         return msgspec.structs.replace(request, legs=(prefill, ordered))
 
-    def decided(self, request: DecisionRequest, reply: DecisionReply, now: float) -> None:
-        """Note where a prompt is going to be read, and which workers will hold it."""
+    def decided(self, request: DecisionRequest, reply: DecisionReply, now: float) -> float:
+        """Note where a prompt is going to be read, and which workers will hold it.
+
+        Returns
+        -------
+        float
+            Seconds until the prompt is expected to be read; 0 when none is to be read.
+        """
         prompt = request.prompt
         if prompt is None or request.attempt_id in self._queues:
-            return
+            return 0.0
+        expected_seconds = 0.0
         stages = [leg.stage for leg in request.legs]
         for choice in reply.choices:
             if choice.stage is stages[0] and not request.is_read:
-                self._queues.begin(
+                expected_seconds = self._queues.begin(
                     request.attempt_id,
                     choice.worker_id,
                     self._tokens_to_read(choice.worker_id, prompt),
                     now,
                     shows_pace=choice.stage is Stage.PREFILL,
                 )
-            if choice.stage is Stage.PREFILL:
-                # Reads wait their turn, so whoever comes next finds the prefix there.
-                self._will_hold(choice.worker_id, prompt)
-            elif choice.stage is Stage.DECODE:
-                self._moving[request.attempt_id] = _Moving(choice.worker_id, prompt)
-                if len(self._moving) > MAX_MOVING:
-                    self._moving.popitem(last=False)
+            if choice.stage is Stage.PREFILL and not self._holds(choice.worker_id, prompt):
+                self._reading[choice.worker_id, prompt.prefix_key] = request.attempt_id
+            if choice.stage in {Stage.PREFILL, Stage.DECODE}:
+                self._awaited[request.attempt_id, choice.worker_id] = prompt
+                if len(self._awaited) > MAX_AWAITED:
+                    self._awaited.popitem(last=False)
+        return expected_seconds
+
+    def postponed_seconds(self, request: DecisionRequest, now: float) -> float:
+        """Return after how long a request should ask again; 0 when it can be decided now.
+
+        A worker that is reading a shared part does not hold it yet: a second prompt with the same
+        part, sent there meanwhile, would have all of it read twice.
+
+        Parameters
+        ----------
+        request
+            A request in the order of :meth:`order`.
+        now
+            Monotonic seconds.
+        """
+        prompt = request.prompt
+        if prompt is None or not request.may_wait or prompt.shared_tokens < LEAST_AWAITED_TOKENS:
+            return 0.0
+        first = request.legs[0]
+        if first.stage is not Stage.PREFILL or not first.candidates:
+            return 0.0
+        attempt_id = self._reading_attempt(first.candidates[0], prompt)
+        if attempt_id is None:
+            return 0.0
+        expected_end = self._queues.expected_end(attempt_id)
+        if expected_end is None or now > expected_end + OVERDUE_SECONDS:
+            return 0.0
+        left = min(expected_end - now, LONGEST_POSTPONEMENT_SECONDS)
+        return max(left, SHORTEST_POSTPONEMENT_SECONDS)
 
     def reported(self, reports: Sequence[AttemptReport], now: float) -> None:
         """Note prompt reads that have ended."""
@@ -188,14 +231,20 @@
             attempt_id = report.attempt_id.removesuffix(PROMPT_READ_SUFFIX)
             was_read = attempt_id != report.attempt_id
             self._queues.end(attempt_id, report.worker_id, now, was_read=was_read)
-            moving = self._moving.get(attempt_id)
-            if moving is not None and moving.worker_id == report.worker_id:
-                del self._moving[attempt_id]
-                if was_read:
-                    self._will_hold(moving.worker_id, moving.prompt)
+            prompt = self._awaited.pop((attempt_id, report.worker_id), None)
+            if prompt is None:
+                continue
+            if self._reading.get((report.worker_id, prompt.prefix_key)) == attempt_id:
+                del self._reading[report.worker_id, prompt.prefix_key]
+            if was_read:
+                self._will_hold(report.worker_id, prompt)
 
     def _order_prefill(self, leg: Leg, prompt: PromptShape, now: float) -> Leg:
-        holders = {one for one in leg.candidates if self._holds(one, prompt)}
+        holders = {
+            one
+            for one in leg.candidates
+            if self._holds(one, prompt) or self._reading_attempt(one, prompt) is not None
+        }
         if not holders:
             # A former leader, and every router that decides alone, sends it to the first one.
             holders = set(leg.candidates[:1])
@@ -246,6 +295,11 @@
         held = self._held.get(worker_id)
         return held is not None and prompt.prefix_key in held
 
+    def _reading_attempt(self, worker_id: str, prompt: PromptShape) -> str | None:
+        """Return the attempt that has a worker read the shared part of a prompt now."""
+        attempt_id = self._reading.get((worker_id, prompt.prefix_key))
+        return attempt_id if attempt_id is not None and attempt_id in self._queues else None
+
     def _tokens_to_read(self, worker_id: str, prompt: PromptShape) -> int:
         if self._holds(worker_id, prompt):
             return prompt.own_tokens
--- a/src/orchidpath/placement/read_queues.py
+++ b/src/orchidpath/placement/read_queues.py
@@ -29,6 +29,7 @@
     worker_id: str
     tokens: int
     since: float
+    expected_end: float
     shows_pace: bool
 
 
@@ -69,8 +70,8 @@
 
     def begin(
         self, attempt_id: str, worker_id: str, tokens: int, now: float, *, shows_pace: bool
-    ) -> None:
-        """Note a read that was ordered.
+    ) -> float:
+        """Note a read that was ordered; returns the seconds until it is expected to end.
 
         Parameters
         ----------
@@ -85,11 +86,20 @@
         shows_pace
             Whether the worker does nothing else meanwhile, so that its pace can be learned.
         """
+        wait_seconds = self.wait_seconds(worker_id, now)
         worker = self._workers.setdefault(worker_id, _Worker())
         if worker.waiting_tokens <= 0:
             worker.reading_since = now
         worker.waiting_tokens += tokens
-        self._reads[attempt_id] = _Read(worker_id, tokens, now, shows_pace)
+        expected_seconds = wait_seconds + tokens * self.seconds_per_token(worker_id)
+        expected_end = now + expected_seconds
+        self._reads[attempt_id] = _Read(worker_id, tokens, now, expected_end, shows_pace)
+        return expected_seconds
+
+    def expected_end(self, attempt_id: str) -> float | None:
+        """Return when a read is expected to end; None when it is not under way."""
+        read = self._reads.get(attempt_id)
+        return read.expected_end if read is not None else None
 
     def end(self, attempt_id: str, worker_id: str, now: float, *, was_read: bool) -> None:
         """Note the end of a read, whether or not the prompt was read."""
--- a/src/orchidpath/router/decision_maker.py
+++ b/src/orchidpath/router/decision_maker.py
@@ -40,6 +40,7 @@
     prefix_key: int = 0
     prefill_worker_id: str = ""
     prompt: PromptShape | None = None
+    may_wait: bool = False
 
 
 _NOBODY = DecisionReply(correlation=0, term=0, denial=Denial.EXHAUSTED)
@@ -105,6 +106,7 @@
             legs=legs,
             prompt=subject.prompt,
             is_read=bool(subject.prefill_worker_id),
+            may_wait=subject.may_wait,
         )
         missing = [leg.stage.value for leg in legs if not leg.candidates]
         if missing:
--- a/src/orchidpath/router/forward_attempts.py
+++ b/src/orchidpath/router/forward_attempts.py
@@ -33,6 +33,10 @@
     clock: Clock
 
 
+LONGEST_WAIT_SECONDS = 2.0
+"""A request waits no longer for the read of its shared part by another one."""
+
+
 class DeniedError(OrchidpathError):
     """No worker may be tried now; ``retry_after_seconds`` is 0 when nothing is known of when."""
 
@@ -49,6 +53,7 @@
     worker: WorkerRecord
     probe_generation: int | None
     chosen_at: float
+    expected_read_seconds: float = 0.0
 
     @property
     def address(self) -> str:
@@ -98,12 +103,27 @@
         DeniedError
             No worker may be tried now.
         """
-        self._count += 1
-        attempt_id = f"{self._facts.request_id}.{self._count}"
         legs = tuple(
             LegTried(stage=stage, tried=tuple(self.tried[stage]), excluded=()) for stage in stages
         )
         subject = msgspec.structs.replace(self._subject, prefill_worker_id=prefill_worker_id)
+        waits_until = self._environment.clock() + LONGEST_WAIT_SECONDS
+        while True:
+            self._count += 1
+            attempt_id = f"{self._facts.request_id}.{self._count}"
+            may_wait = self._environment.clock() < waits_until
+            subject = msgspec.structs.replace(subject, may_wait=may_wait)
+            made = await self._decide_once(subject, attempt_id, legs)
+            if made.reply.denial is not Denial.POSTPONED:
+                break
+            await asyncio.sleep(made.reply.retry_after_seconds)
+        if made.reply.denial is not Denial.NONE:
+            raise DeniedError(made.reply.denial.value, made.reply.retry_after_seconds)
+        return self._take_choices(attempt_id, made)
+
+    async def _decide_once(
+        self, subject: DecisionSubject, attempt_id: str, legs: tuple[LegTried, ...]
+    ) -> DecisionMade:
         deciding = self._environment.tasks.spawn(
             self._environment.decisions.decide(
                 subject, AskDecision(attempt_id=attempt_id, legs=legs)
@@ -117,9 +137,7 @@
             raise
         if not isinstance(made, DecisionMade):
             raise DeniedError(made.reason)
-        if made.reply.denial is not Denial.NONE:
-            raise DeniedError(made.reply.denial.value, made.reply.retry_after_seconds)
-        return self._take_choices(attempt_id, made)
+        return made
 
     def prompt_read(self, chosen: Chosen) -> None:
         """Tell the leader that a worker holds the prompt now; its attempt goes on."""
@@ -176,7 +194,14 @@
                 self._report(_unused(attempt_id, choice.worker_id), None)
                 is_complete = False
                 continue
-            one = Chosen(attempt_id, choice.stage, worker, choice.probe_generation, now)
+            one = Chosen(
+                attempt_id,
+                choice.stage,
+                worker,
+                choice.probe_generation,
+                now,
+                made.reply.expected_read_seconds,
+            )
             chosen[choice.stage] = one
             self._running[choice.worker_id] = one
         if is_complete:
--- a/src/orchidpath/router/forward_runner.py
+++ b/src/orchidpath/router/forward_runner.py
@@ -204,7 +204,7 @@
 
     async def _read_prompt(self, chosen: Chosen) -> bool:
         """Have the prompt read; False when the round is to be begun anew."""
-        seconds = self._progress.prompt_read_seconds(self._clock())
+        seconds = self._progress.prompt_read_seconds(self._clock(), chosen.expected_read_seconds)
         try:
             async with asyncio.timeout(seconds):
                 answer = await self._prompt_answer(chosen)
--- a/src/orchidpath/wire/messages.py
+++ b/src/orchidpath/wire/messages.py
@@ -173,6 +173,7 @@
     from its last known state and its own observations. Duplicated: the attempt id makes
     registration happen once. With ``prompt`` the leader places the prompt, and may leave its read
     to the decode worker by choosing none for prefill; ``is_read`` says that it was read already.
+    With ``may_wait`` the leader may answer that the request should ask again a little later.
     """
 
     correlation: int
@@ -182,6 +183,7 @@
     legs: tuple[Leg, ...]
     prompt: PromptShape | None = None
     is_read: bool = False
+    may_wait: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -200,6 +202,8 @@
     SHARED_CAPACITY = "shared_capacity"
     EXHAUSTED = "exhausted"
     NOT_LEADER = "not_leader"
+    POSTPONED = "postponed"
+    """Ask again after ``retry_after_seconds``: the prompt's shared part is being read."""
 
 
 class CandidateState(msgspec.Struct, frozen=True, kw_only=True):
@@ -213,7 +217,11 @@
 
 
 class DecisionReply(msgspec.Struct, frozen=True, kw_only=True, tag="decision_reply"):
-    """The chosen workers, or why there is none and when to come back."""
+    """The chosen workers, or why there is none and when to come back.
+
+    ``expected_read_seconds`` is how long the prompt is expected to wait and be read; 0 when no
+    prompt is to be read, or nothing is known.
+    """
 
     correlation: int
     term: int
@@ -221,6 +229,7 @@
     denial: Denial = Denial.NONE
     retry_after_seconds: float = 0.0
     states: tuple[CandidateState, ...] = ()
+    expected_read_seconds: float = 0.0
 
 
 class AttemptEffect(StrEnum):
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 from platform_world import (
     SIGNATURE,
     WAIT_SECONDS,
@@ -111,6 +112,33 @@
         assert prefill.freed == []
 
 
+async def test_two_prompts_with_the_same_unknown_part_have_it_read_once(tmp_path: Path) -> None:
+    prefill, decode = pair()
+    may_go_on = asyncio.Event()
+
+    async def read_when_allowed(worker: StandInWorker, incoming: web.Request) -> web.StreamResponse:
+        await may_go_on.wait()
+        return await worker.answer_well(incoming)
+
+    async with running(tmp_path, prefill, decode) as world:
+        await world.request_until_served("/advice/x", headers=MODEL)
+        prefill.arrivals.clear()
+        prefill.answers.append(read_when_allowed)
+        unknown = {**MODEL, "X-Prefix-Hash": "aa1e07a2:13000,bb402b7d:60000"}
+        first = asyncio.create_task(world.request("/advice/x", headers=unknown))
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not prefill.arrivals:
+                await asyncio.sleep(0.01)
+        second = asyncio.create_task(world.request("/advice/x", headers=unknown))
+        await asyncio.sleep(0.3)
+        arrived_meanwhile = len(prefill.arrivals)
+        may_go_on.set()
+        for task in (first, second):
+            response, body = await task
+            assert (response.status, body) == (200, EVENTS)
+        assert arrived_meanwhile == 1
+
+
 async def test_what_a_client_says_of_stages_is_not_believed(tmp_path: Path) -> None:
     prefill, decode = pair()
     async with running(tmp_path, prefill, decode) as world:
@@ -148,7 +176,8 @@
         await world.request_until_served("/advice/x", headers=MODEL)
         decode.arrivals.clear()
         prefill.answers.append(run_and_break)
-        long = {**MODEL, "X-Token-Usage": "9000,10"}
+        unknown = "aa1e07a2:8000,bb402b7d:1000"
+        long = {**MODEL, "X-Token-Usage": "9000,10", "X-Prefix-Hash": unknown}
         response, _ = await world.request("/advice/x", headers=long)
         assert response.status == 503
         assert float(response.headers["Retry-After"]) > 0
--- a/tests/forwarding/test_forward_progress.py
+++ b/tests/forwarding/test_forward_progress.py
@@ -3,6 +3,10 @@
 import pytest
 
 from orchidpath.forwarding.progress import (
+    FIRST_ANSWER_LATENCY_FACTOR,
+    PROMPT_READ_SHARE,
+    READ_PATIENCE_FACTOR,
+    READ_PATIENCE_SECONDS,
     FailureKind,
     FinalStatus,
     ForwardProgress,
@@ -122,7 +126,9 @@
 
 def test_only_what_may_be_repeated_gives_a_silent_worker_up() -> None:
     assert progress().first_answer_seconds(NOW) == pytest.approx(8.0)
-    assert progress(Repetition.RESUMED).first_answer_seconds(NOW) == pytest.approx(3.2)
+    repeatable = progress(Repetition.RESUMED)
+    expected = 0.8 * FIRST_ANSWER_LATENCY_FACTOR
+    assert repeatable.first_answer_seconds(NOW) == pytest.approx(expected)
     alone = progress(Repetition.RESUMED, max_attempts=1)
     alone.sent("a")
     assert alone.first_answer_seconds(NOW) == pytest.approx(8.0)
@@ -133,3 +139,11 @@
     assert one.seconds(0.0) == pytest.approx(0.1)
     assert one.seconds(1.0) == pytest.approx(0.4)
     assert one.seconds(0.0, at_least=2.0) >= 2.0
+
+
+def test_a_prompt_read_that_takes_far_longer_than_expected_is_given_up() -> None:
+    assert progress().prompt_read_seconds(NOW) == pytest.approx(8.0 * PROMPT_READ_SHARE)
+    expected = READ_PATIENCE_SECONDS + READ_PATIENCE_FACTOR * 0.5
+    assert progress().prompt_read_seconds(NOW, 0.5) == pytest.approx(expected)
+    assert progress().prompt_read_seconds(NOW, 60.0) == pytest.approx(8.0 * PROMPT_READ_SHARE)
+    assert progress().prompt_read_seconds(NOW + 9.0, 0.5) == 0.0
--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from orchidpath.placement.prompts import PromptPlacement
+from orchidpath.placement.prompts import (
+    LONGEST_POSTPONEMENT_SECONDS,
+    OVERDUE_SECONDS,
+    SHORTEST_POSTPONEMENT_SECONDS,
+    PromptPlacement,
+)
 from orchidpath.placement.read_queues import READ_TTL_SECONDS
 from orchidpath.wire.messages import (
     PROMPT_READ_SUFFIX,
@@ -203,3 +208,51 @@
         now += seconds
     fresh = request(50, prefix=7, shared=0, own=10_000, ring=("p1", "p2"))
     assert place(placement, fresh, now)[Stage.PREFILL] == "p2"
+
+
+def postponed_seconds(
+    placement: PromptPlacement, asked: DecisionRequest, now: float, *, may_wait: bool = True
+) -> float:
+    asked = msgspec.structs.replace(asked, may_wait=may_wait)
+    return placement.postponed_seconds(placement.order(asked, idle, now), now)
+
+
+def test_a_second_prompt_waits_while_its_shared_part_is_being_read() -> None:
+    # Seen on the bench: a worker that is asked meanwhile reads all of it a second time.
+    placement = PromptPlacement()
+    asked = request(1)
+    place(placement, asked)
+    assert postponed_seconds(placement, request(2), 0.01) == LONGEST_POSTPONEMENT_SECONDS
+    assert postponed_seconds(placement, request(2), 0.41) == SHORTEST_POSTPONEMENT_SECONDS
+    assert postponed_seconds(placement, request(2, prefix=8), 0.01) == 0.0
+    assert postponed_seconds(placement, request(2, shared=500), 0.01) == 0.0
+    assert postponed_seconds(placement, request(2), 0.01, may_wait=False) == 0.0
+    read(placement, asked, "p1", 0.42)
+    assert postponed_seconds(placement, request(2), 0.43) == 0.0
+    assert place(placement, request(2), 0.43)[Stage.PREFILL] == "p1"
+
+
+def test_nobody_waits_for_a_read_that_is_overdue_or_failed() -> None:
+    placement = PromptPlacement()
+    asked = request(1)
+    place(placement, asked)
+    assert postponed_seconds(placement, request(2), 1.0 + OVERDUE_SECONDS) == 0.0
+    failed = AttemptReport(
+        request_id=asked.request_id,
+        attempt_id=asked.attempt_id,
+        worker_id="p1",
+        effect=AttemptEffect.TRANSIENT,
+    )
+    placement.reported([failed], 0.2)
+    assert postponed_seconds(placement, request(2), 0.21) == 0.0
+
+
+def test_a_prompt_that_waits_too_long_goes_to_another_worker() -> None:
+    placement = PromptPlacement()
+    place(placement, request(1, prefix=8, own=60_000))
+    place(placement, request(2, ring=("p1", "p2")))
+    assert postponed_seconds(placement, request(3), 0.01) > 0
+    for number in range(10, 14):
+        place(placement, request(number, prefix=number, own=60_000, ring=("p2",)))
+    ordered = placement.order(request(4), idle, 0.02)
+    assert ordered.legs[0].candidates[0] == "p3"
