Adapter test: workers that hang are not given up while the test runs

Cause of its failure after the change before: the test gave each of two workers four answers that hang and waited until all eight were used, which came about only by retries after two seconds of silence. A router gives a silent worker up sooner now. What it asserts is unchanged.

--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -197,14 +197,15 @@
         assert changed.status == 200
         await world.request_until_served("/advice/x")
         for worker in decoders:
-            worker.answers.extend([hang] * 4)
+            worker.runs.clear()
+            worker.answers.extend([hang] * 8)
         busy = [asyncio.create_task(world.request("/advice/x")) for _ in range(8)]
         async with asyncio.timeout(WAIT_SECONDS):
-            while any(worker.answers for worker in decoders):
+            while sum(len(worker.runs) for worker in decoders) < len(busy):
                 await asyncio.sleep(0.01)
         for worker in decoders:
             worker.runs.clear()
-            worker.answers.append(fail)
+            worker.answers[:] = [fail]
         prefill.arrivals.clear()
         await world.request("/advice/x")
         assert prefill.arrivals == []
