Operators change items of the configuration by name

Cause: a valid PATCH /config was answered 405 and never acknowledged, as the adapter knew PUT only. Change: LabelledChange beside LabelledOrder: worked out on the agreed state whose label it names, decided by the same compare and swap, acknowledged again under its order id without being worked out anew.

--- a/src/orchidpath/control/labelled_orders.py
+++ b/src/orchidpath/control/labelled_orders.py
@@ -3,8 +3,13 @@
 Such an operator knows a configuration by its label, which rises with each change. The same order
 sent again, to any control process, gets its first outcome; the compare and swap of the replicated
 state decides between two orders that were built on the same label.
+
+An order brings the whole configuration, or a change of the current one. A change is worked out
+where it arrives, on the agreed state whose label it names; that the state has not moved on is then
+checked by the same compare and swap, so both kinds are decided alike.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Protocol
 
@@ -43,6 +48,26 @@
     document: bytes = b""
 
 
+class ResolvedConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """A valid configuration and the text that it was made from."""
+
+    configuration: Configuration
+    document: bytes
+
+
+class LabelledChange(msgspec.Struct, frozen=True, kw_only=True):
+    """A change of the configuration labelled ``base_label``.
+
+    ``order_id`` is the same exactly for the same content. ``resolve`` returns what the change makes
+    of the current document, which is empty before the first one; it raises an error of its own if
+    the change can't be made.
+    """
+
+    order_id: str
+    base_label: int
+    resolve: Callable[[bytes], ResolvedConfiguration]
+
+
 class SubmitAccess(Protocol):
     """What is needed of a control process."""
 
@@ -53,7 +78,9 @@
         """Return a state that holds everything confirmed before the call."""
 
 
-async def submit_labelled(access: SubmitAccess, order: LabelledOrder) -> LabelledOutcome:
+async def submit_labelled(
+    access: SubmitAccess, order: LabelledOrder | LabelledChange
+) -> LabelledOutcome:
     """Submit an order and say what became of it.
 
     Parameters
@@ -61,28 +88,58 @@
     access
         A control process.
     order
-        The order.
+        The order. What the ``resolve`` of a change raises is passed on: nothing was submitted.
     """
     try:
         state = await access.read_state()
     except UnavailableError:
         return LabelledOutcome.UNKNOWN
     taken = state.find_order(order.order_id)
-    objection = _objection(state, order, taken)
-    if objection is not None:
-        return objection
-    base_version = state.configuration_version
     if taken is not None and isinstance(taken.outcome, OrderAccepted):
-        base_version = taken.outcome.version - 1
-    result = await access.submit(
-        SubmitConfiguration(
-            order_id=order.order_id,
-            base_version=base_version,
-            configuration=order.configuration,
-            digest=configuration_digest(base_version, order.configuration),
-            document=order.document,
-        )
+        return await _submit(access, order, _repetition(state, taken, taken.outcome))
+    if order.base_label != state.configuration.label:
+        return LabelledOutcome.CONFLICT
+    resolved = _resolve(state, order)
+    if resolved.configuration.label <= state.configuration.label:
+        return LabelledOutcome.INVALID
+    base_version = state.configuration_version
+    command = SubmitConfiguration(
+        order_id=order.order_id,
+        base_version=base_version,
+        configuration=resolved.configuration,
+        digest=configuration_digest(base_version, resolved.configuration),
+        document=resolved.document,
+    )
+    return await _submit(access, order, command)
+
+
+def _resolve(state: FleetState, order: LabelledOrder | LabelledChange) -> ResolvedConfiguration:
+    if isinstance(order, LabelledChange):
+        return order.resolve(state.document)
+    return ResolvedConfiguration(configuration=order.configuration, document=order.document)
+
+
+def _repetition(
+    state: FleetState, taken: OrderRecord, outcome: OrderAccepted
+) -> SubmitConfiguration:
+    """Return an order that was taken once more: it changes nothing and is confirmed again.
+
+    What a change once made of an older configuration can't be worked out any more, and need not:
+    a replica that knows the order answers its first outcome.
+    """
+    return SubmitConfiguration(
+        order_id=taken.order_id,
+        base_version=outcome.version - 1,
+        configuration=state.configuration,
+        digest=taken.digest,
+        document=state.document,
     )
+
+
+async def _submit(
+    access: SubmitAccess, order: LabelledOrder | LabelledChange, command: SubmitConfiguration
+) -> LabelledOutcome:
+    result = await access.submit(command)
     match result.status:
         case SubmitStatus.CONFIRMED:
             return LabelledOutcome.TAKEN
@@ -92,21 +149,9 @@
             return LabelledOutcome.UNKNOWN
 
 
-def _objection(
-    state: FleetState, order: LabelledOrder, taken: OrderRecord | None
-) -> LabelledOutcome | None:
-    """Return why an order can't take effect any more; None if it may, or has."""
-    if taken is not None and isinstance(taken.outcome, OrderAccepted):
-        return None
-    current = state.configuration.label
-    if order.base_label != current:
-        return LabelledOutcome.CONFLICT
-    if order.configuration.label <= current:
-        return LabelledOutcome.INVALID
-    return None
-
-
-async def _outcome_of_conflict(access: SubmitAccess, order: LabelledOrder) -> LabelledOutcome:
+async def _outcome_of_conflict(
+    access: SubmitAccess, order: LabelledOrder | LabelledChange
+) -> LabelledOutcome:
     """Tell another order's victory from an earlier copy of this one that was taken meanwhile."""
     try:
         state = await access.read_state()
--- a/tests/adapter/platform_world.py
+++ b/tests/adapter/platform_world.py
@@ -307,11 +307,23 @@
         self, document: bytes, match: int, number: int = 0
     ) -> aiohttp.ClientResponse:
         """Send a configuration until there is a clear answer."""
+        return await self._order_configuration("PUT", document, match, number)
+
+    async def patch_configuration(
+        self, change: bytes, match: int, number: int = 0
+    ) -> aiohttp.ClientResponse:
+        """Send a change of the configuration until there is a clear answer."""
+        return await self._order_configuration("PATCH", change, match, number)
+
+    async def _order_configuration(
+        self, method: str, body: bytes, match: int, number: int
+    ) -> aiohttp.ClientResponse:
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
-                response = await self._session.put(
+                response = await self._session.request(
+                    method,
                     self.control_url(number) + "/config",
-                    data=document,
+                    data=body,
                     headers={"If-Match": str(match)},
                 )
                 if response.status != 503:
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -85,6 +85,65 @@
         assert await world.get_configuration(0) == document(2)
 
 
+def change(version: int, **lists: Any) -> bytes:
+    return json.dumps({"version": version, **lists}).encode()
+
+
+async def test_items_of_the_configuration_are_changed_by_name(tmp_path: Path) -> None:
+    routes = json.loads(document(1))["routes"]
+    added = {**routes[0], "name": "again", "path_prefix": "/again/"}
+    one = stock("s1")[0]
+    async with running(tmp_path, one) as world:
+        await world.request_until_served("/stock/x")
+        first = change(5, upsert={"routes": [added]}, remove={"routes": ["stock"]})
+        rival = document(6)
+        answers = await asyncio.gather(
+            world.patch_configuration(first, 2, number=0),
+            world.put_configuration(rival, 2, number=1),
+        )
+        assert sorted(answer.status for answer in answers) == [200, 412]
+        if answers[0].status != 200:
+            first = change(7, upsert={"routes": [added]}, remove={"routes": ["stock"]})
+            assert (await world.patch_configuration(first, 6)).status == 200
+        taken = json.loads(first)["version"]
+        response, _ = await world.request("/stock/x")
+        assert response.status == 404
+        response, body = await world.request("/again/x")
+        assert (response.status, body) == (200, b"stock")
+        whole = json.loads(await world.get_configuration(2))
+        assert whole == {**json.loads(document(taken)), "routes": [routes[1], added]}
+        base = 2 if taken == 5 else 6
+        assert (await world.patch_configuration(first, base, number=2)).status == 200
+        assert json.loads(await world.get_configuration(1)) == whole
+
+
+INVALID_CHANGES: list[dict[str, Any]] = [
+    {"remove": {"routes": ["nowhere"]}},
+    {"remove": {"services": ["stock-api"]}},
+    {"upsert": {"routes": [{"name": "r", "hostname": "h", "path_prefix": "/a/"}]}},
+    {"upsert": {"routes": [{**json.loads(document(1))["routes"][0], "name": "twin"}]}},
+    {"upsert": {"routes": [{**json.loads(document(1))["routes"][0], "timeout_ms": 0}]}},
+    {"version": 2},
+    {"version": "three"},
+    {"upsert": ["routes"]},
+]
+
+
+async def test_invalid_changes_have_no_effect(tmp_path: Path) -> None:
+    async with running(tmp_path) as world:
+        for one in INVALID_CHANGES:
+            response = await world.patch_configuration(change(**{"version": 7, **one}), 2)
+            assert response.status == 400, one
+            assert (await response.json())["reason"], one
+        both = change(7, remove={"routes": ["nowhere", "nor here"]})
+        reason = (await (await world.patch_configuration(both, 2)).json())["reason"]
+        assert "nowhere" in reason
+        assert "nor here" in reason
+        assert (await world.patch_configuration(change(7)[:-2], 2)).status == 400
+        assert (await world.patch_configuration(change(7), 1)).status == 412
+        assert await world.get_configuration(0) == document(2)
+
+
 async def test_a_plain_request_reaches_one_worker_as_it_was_sent(tmp_path: Path) -> None:
     one = stock("s1")[0]
     async with running(tmp_path, one) as world:
--- a/tests/control/test_labelled_orders.py
+++ b/tests/control/test_labelled_orders.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from orchidpath.control.labelled_orders import LabelledOrder, LabelledOutcome, submit_labelled
+from orchidpath.common.errors import OrchidpathError
+from orchidpath.control.labelled_orders import (
+    LabelledChange,
+    LabelledOrder,
+    LabelledOutcome,
+    ResolvedConfiguration,
+    submit_labelled,
+)
 from orchidpath.control.operator_api import UnavailableError
 from orchidpath.control.operator_bodies import SubmitResult, SubmitStatus, Taken
 from orchidpath.state.commands import SubmitConfiguration, encode_command
@@ -18,7 +25,7 @@
         self.state = FleetState()
         self.is_readable = True
         self.loses_answers = False
-        self.before_submit: list[LabelledOrder] = []
+        self.before_submit: list[LabelledOrder | LabelledChange] = []
 
     async def read_state(self) -> FleetState:
         if not self.is_readable:
@@ -46,6 +53,17 @@
     )
 
 
+def change(name: str, base: int, label: int) -> LabelledChange:
+    """Return a change that adds its name to the document."""
+
+    def resolve(document: bytes) -> ResolvedConfiguration:
+        return ResolvedConfiguration(
+            configuration=Configuration(label=label), document=document + name.encode()
+        )
+
+    return LabelledChange(order_id=name, base_label=base, resolve=resolve)
+
+
 async def test_labels_may_rise_in_uneven_steps() -> None:
     one = OneReplica()
     assert await submit_labelled(one, order("a", 0, 2)) is LabelledOutcome.TAKEN
@@ -118,3 +136,69 @@
     one = OneReplica()
     one.is_readable = False
     assert await submit_labelled(one, order("a", 0, 2)) is LabelledOutcome.UNKNOWN
+
+
+async def test_a_change_is_made_to_the_configuration_that_it_names() -> None:
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    assert await submit_labelled(one, change("b", 2, 5)) is LabelledOutcome.TAKEN
+    assert await submit_labelled(one, change("c", 5, 6)) is LabelledOutcome.TAKEN
+    assert one.state.document == b"abc"
+    assert one.state.configuration.label == 6
+
+
+async def test_of_a_change_and_a_whole_configuration_on_one_base_one_wins() -> None:
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    one.before_submit = [order("w", 2, 5)]
+    assert await submit_labelled(one, change("b", 2, 5)) is LabelledOutcome.CONFLICT
+    one.before_submit = [change("d", 5, 7)]
+    assert await submit_labelled(one, order("e", 5, 6)) is LabelledOutcome.CONFLICT
+    assert one.state.document == b"wd"
+
+
+async def test_a_change_that_was_taken_is_acknowledged_again_and_made_once() -> None:
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    one.loses_answers = True
+    assert await submit_labelled(one, change("b", 2, 3)) is LabelledOutcome.UNKNOWN
+    one.loses_answers = False
+    assert await submit_labelled(one, change("b", 2, 3)) is LabelledOutcome.TAKEN
+    assert one.state.document == b"ab"
+    await submit_labelled(one, change("c", 3, 4))
+    assert await submit_labelled(one, change("b", 2, 3)) is LabelledOutcome.TAKEN
+    assert one.state.document == b"abc"
+    assert one.state.configuration.label == 4
+
+
+async def test_a_copy_of_a_change_that_overtakes_its_first_one_is_never_refused() -> None:
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    one.before_submit = [change("b", 2, 3)]
+    outcome = await submit_labelled(one, change("b", 2, 3))
+    assert outcome in {LabelledOutcome.TAKEN, LabelledOutcome.UNKNOWN}
+    assert one.state.document == b"ab"
+
+
+@pytest.mark.parametrize(
+    ("base", "label", "outcome"),
+    [(2, 2, LabelledOutcome.INVALID), (1, 3, LabelledOutcome.CONFLICT)],
+)
+async def test_a_change_on_another_base_or_with_an_older_label_has_no_effect(
+    base: int, label: int, outcome: LabelledOutcome
+) -> None:
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    assert await submit_labelled(one, change("b", base, label)) is outcome
+    assert one.state.document == b"a"
+
+
+async def test_a_change_that_cannot_be_made_submits_nothing() -> None:
+    def resolve(document: bytes) -> ResolvedConfiguration:
+        raise OrchidpathError("no such item")
+
+    one = OneReplica()
+    await submit_labelled(one, order("a", 0, 2))
+    with pytest.raises(OrchidpathError, match="no such item"):
+        await submit_labelled(one, LabelledChange(order_id="b", base_label=2, resolve=resolve))
+    assert one.state.configuration_version == 1
