Requests of a split route go by a low-discrepancy order

Each router now steps through the weights from a random beginning. Ruled out: a draw from the global random source, as was suspected: it was the router's own.

--- a/src/orchidpath/forwarding/table.py
+++ b/src/orchidpath/forwarding/table.py
@@ -1,6 +1,4 @@
-"""Finds the forward route of a request, and the service that answers it; pure."""
-
-import random as random_module
+"""Finds the forward route of a request; pure."""
 
 from orchidpath.wire.configuration import Configuration, ForwardRoute
 
@@ -46,22 +44,6 @@
         return None
 
 
-def choose_service(route: ForwardRoute, random: random_module.Random) -> str:
-    """Choose one of a route's services at random, by weight.
-
-    Parameters
-    ----------
-    route
-        A valid route: its weights do not sum to 0.
-    random
-        Source of randomness.
-    """
-    if len(route.services) == 1:
-        return route.services[0].service
-    weights = [target.weight for target in route.services]
-    return random.choices(route.services, weights)[0].service
-
-
 def _without_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/src/orchidpath/router/forward_edge.py
+++ b/src/orchidpath/router/forward_edge.py
@@ -11,7 +11,7 @@
 from orchidpath.common.logs import Logger, get_logger
 from orchidpath.common.settings import RouterSettings
 from orchidpath.forwarding.progress import ReturnTime
-from orchidpath.forwarding.table import choose_service
+from orchidpath.forwarding.split import WeightedSplit
 from orchidpath.router.background_tasks import BackgroundTasks
 from orchidpath.router.decision_maker import DecisionMaker
 from orchidpath.router.decisions import FleetAccess
@@ -76,6 +76,7 @@
         self._fleet = fleet
         self._clock = clock
         self._random = random
+        self._split = WeightedSplit(random)
         self._dialect = dialect
         self._logger: Logger = get_logger("forward_edge")
         self._state = RoutingState(fleet, random)
@@ -183,7 +184,7 @@
         except UnreadableRequestError as error:
             caller.send_answer(400, (), str(error).encode())
             return
-        service = choose_service(route, self._random)
+        service = self._split.next_service(route)
         runner = ForwardRunner(self._environment, request, facts, route, service, caller)
         await runner.run()
 
--- a/tests/forwarding/test_forward_table.py
+++ b/tests/forwarding/test_forward_table.py
@@ -1,11 +1,8 @@
 """Routes by host and longest prefix, and services by weight."""
 
-from collections import Counter
-from random import Random
-
 import pytest
 
-from orchidpath.forwarding.table import ForwardTable, choose_service
+from orchidpath.forwarding.table import ForwardTable
 from orchidpath.wire.configuration import Configuration, ForwardRoute, WeightedService
 
 
@@ -48,18 +45,3 @@
 def test_the_longest_prefix_of_the_host_wins(host: str, path: str, name: str | None) -> None:
     found = TABLE.match(host, path)
     assert (found.name if found else None) == name
-
-
-def test_requests_are_divided_by_weight() -> None:
-    split = route(
-        "split",
-        "h",
-        "/",
-        WeightedService(service="a", weight=90),
-        WeightedService(service="b", weight=10),
-        WeightedService(service="never", weight=0),
-    )
-    random = Random(1)
-    chosen = Counter(choose_service(split, random) for _ in range(5000))
-    assert set(chosen) == {"a", "b"}
-    assert 0.07 < chosen["b"] / 5000 < 0.13
--- /dev/null
+++ b/tests/forwarding/test_weighted_split.py
@@ -0,0 +1,60 @@
+"""A route's requests are divided among its services by weight."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from orchidpath.forwarding.split import MAX_ROUTES, WeightedSplit
+from orchidpath.wire.configuration import ForwardRoute, WeightedService
+
+
+def route(name: str, **weights: int) -> ForwardRoute:
+    services = [WeightedService(service=one, weight=weight) for one, weight in weights.items()]
+    return ForwardRoute(name=name, host="h", path_prefix="/", services=services)
+
+
+SPLIT = route("split", a=90, b=10, never=0)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_router_keeps_the_weights_within_a_few_requests(seed: int) -> None:
+    split = WeightedSplit(Random(seed))
+    chosen = Counter(split.next_service(SPLIT) for _ in range(200))
+    assert set(chosen) == {"a", "b"}
+    assert abs(chosen["b"] - 20) <= 2
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_many_routers_with_few_requests_keep_them_together(seed: int) -> None:
+    random = Random(seed)
+    routers = [WeightedSplit(random) for _ in range(77)]
+    chosen = Counter(router.next_service(SPLIT) for router in routers for _ in range(5))
+    assert abs(chosen["b"] / (77 * 5) - 0.1) < 0.05
+
+
+def test_each_route_has_its_own_order_and_one_service_needs_none() -> None:
+    split = WeightedSplit(Random(1))
+    first = [split.next_service(SPLIT) for _ in range(50)]
+    other = WeightedSplit(Random(1))
+    mixed = []
+    for _ in range(50):
+        mixed.append(other.next_service(SPLIT))
+        other.next_service(route("another", x=1, y=1))
+        assert other.next_service(route("single", z=1)) == "z"
+    assert mixed == first
+
+
+def test_changed_weights_hold_from_the_next_request_on() -> None:
+    split = WeightedSplit(Random(1))
+    for _ in range(30):
+        split.next_service(SPLIT)
+    moved = route("split", a=0, b=10)
+    assert {split.next_service(moved) for _ in range(30)} == {"b"}
+
+
+def test_many_routes_take_bounded_memory() -> None:
+    split = WeightedSplit(Random(1))
+    for number in range(2 * MAX_ROUTES):
+        split.next_service(route(f"r{number}", a=1, b=1))
+    assert len(split._positions) <= MAX_ROUTES
