A stream that its worker breaks off is taken up at another one inside the same answer

Cause: where a route is resumable, a worker that crashed in the middle of a stream cost the caller the whole answer. Change: only whole events are passed on; another worker is sent the request with the id of the last one and the version of the weights that began it; an id that does not rise means that the worker began anew, and its events are never passed on. Workers and retry budget are bounded as for any other retry.

--- /dev/null
+++ b/src/orchidpath/forwarding/resumable_stream.py
@@ -0,0 +1,84 @@
+"""A stream of events that another worker can take up after its last whole event; pure.
+
+Only whole events are passed on, so that a worker that breaks off inside one leaves nothing that
+would have to be taken back. Every event of such a stream bears an id, and ids rise: a worker that
+begins anew instead of going on is noticed by an id that does not.
+"""
+
+from orchidpath.common.errors import OrchidpathError
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""A larger event is passed on in parts, and its stream can't be taken up any more."""
+
+_ENDS_OF_EVENT = (b"\n\n", b"\r\n\r\n")
+_ID_FIELD = b"id:"
+
+
+class StitchedStreamError(OrchidpathError):
+    """A worker that was to go on after an event did not: its events are never passed on."""
+
+
+class ResumableStream:
+    """The events of one answer, from all the workers that sent a part of it."""
+
+    def __init__(self) -> None:
+        self._pending = b""
+        self._last_id: int | None = None
+        self._has_passed = False
+        self._is_whole = True
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event that was passed on; empty before the first."""
+        return "" if self._last_id is None else str(self._last_id)
+
+    @property
+    def can_be_taken_up(self) -> bool:
+        """Whether another worker can go on where this answer broke off."""
+        return self._is_whole and (not self._has_passed or self._last_id is not None)
+
+    def take(self, data: bytes) -> bytes:
+        """Take bytes of an answer and return those that can be passed on now.
+
+        Raises
+        ------
+        StitchedStreamError
+            An event does not follow the last one.
+        """
+        self._pending += data
+        end = max(self._end_after(mark) for mark in _ENDS_OF_EVENT)
+        if not end and len(self._pending) > MAX_EVENT_BYTES:
+            self._is_whole = False
+            end = len(self._pending)
+        whole, self._pending = self._pending[:end], self._pending[end:]
+        self._follow(whole)
+        return whole
+
+    def end(self) -> bytes:
+        """Return what is left at the clean end of an answer."""
+        rest, self._pending = self._pending, b""
+        return rest
+
+    def broke_off(self) -> None:
+        """Forget the part of an event that a worker did not finish."""
+        self._pending = b""
+
+    def _end_after(self, mark: bytes) -> int:
+        position = self._pending.rfind(mark)
+        return position + len(mark) if position >= 0 else 0
+
+    def _follow(self, events: bytes) -> None:
+        """Note the ids of whole events."""
+        last_id = self._last_id
+        for line in events.splitlines():
+            if not line.startswith(_ID_FIELD):
+                continue
+            value = line.removeprefix(_ID_FIELD).strip()
+            if not value.isdigit():
+                self._is_whole = False
+                continue
+            if last_id is not None and int(value) <= last_id:
+                raise StitchedStreamError(f"event {int(value)} follows event {last_id}")
+            last_id = int(value)
+        self._last_id = last_id
+        self._has_passed = self._has_passed or bool(events)
--- a/src/orchidpath/router/forward_dialect.py
+++ b/src/orchidpath/router/forward_dialect.py
@@ -45,6 +45,8 @@
     signature: bytes = b"x-orchidpath-signature"
     not_run: bytes = b"x-orchidpath-not-run"
     load: bytes = b"x-orchidpath-load"
+    weights_version: bytes = b"x-orchidpath-weights-version"
+    last_event_id: bytes = b"last-event-id"
 
 
 class RequestFacts(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,7 +76,8 @@
     """What the router adds to a request that it sends to a worker.
 
     ``reads_prompt`` asks for the prompt read alone. ``cache_source`` names the KV cache of an
-    earlier prompt read, as :meth:`ForwardDialect.cache_source` made it.
+    earlier prompt read, as :meth:`ForwardDialect.cache_source` made it. ``last_event_id`` is the
+    event after which a stream is to go on; empty to leave it to what the caller said.
     """
 
     worker_id: str
@@ -83,6 +86,7 @@
     reads_prompt: bool = False
     cache_source: str = ""
     expected_version: int | None = None
+    last_event_id: str = ""
 
 
 class WorkerLoad(msgspec.Struct, frozen=True):
@@ -106,6 +110,7 @@
     is_encoded: bool
     promises_not_run: bool
     load: WorkerLoad | None = None
+    weights_version: int | None = None
 
 
 class PromptRead(msgspec.Struct, frozen=True, kw_only=True):
@@ -176,6 +181,8 @@
         """
         names = self.names
         dropped = self._set_by_router | CONNECTION_HEADERS | {names.deadline_milliseconds}
+        if order.last_event_id:
+            dropped = dropped | {names.last_event_id}
         kept = [header for header in headers if header[0] not in dropped]
         milliseconds = max(1, int(order.deadline_seconds * 1000))
         kept.append((names.deadline_milliseconds, b"%d" % milliseconds))
@@ -186,6 +193,8 @@
             kept.append((names.stage, b"prefill"))
         if order.cache_source:
             kept.append((names.cache_source, order.cache_source.encode("latin-1")))
+        if order.last_event_id:
+            kept.append((names.last_event_id, order.last_event_id.encode("latin-1")))
         if order.expected_version is not None:
             kept.append((names.expected_version, b"%d" % order.expected_version))
         return kept
@@ -200,6 +209,7 @@
             is_encoded=values.get(b"content-encoding", b"identity") != b"identity",
             promises_not_run=names.not_run in values or status == 421,
             load=_load(values.get(names.load)),
+            weights_version=_version(values.get(names.weights_version)),
         )
 
     def answer_headers(self, headers: Sequence[Header], keep_signature: bool) -> list[Header]:
@@ -254,6 +264,10 @@
     return xxhash.xxh64_intdigest(model + b"\x00" + names)
 
 
+def _version(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
+
+
 def _load(value: bytes | None) -> WorkerLoad | None:
     if value is None:
         return None
--- a/tests/adapter/platform_world.py
+++ b/tests/adapter/platform_world.py
@@ -204,6 +204,34 @@
     return response
 
 
+async def run_and_cut_inside_an_event(
+    worker: StandInWorker, request: web.Request
+) -> web.StreamResponse:
+    """Send one event and half of the next, and reset the connection."""
+    request_id = request.headers["X-Request-Id"]
+    worker.runs.append(request_id)
+    signed = {"X-Request-Id": request_id, SIGNATURE: "first", "X-Weight-Versions": "3"}
+    response = web.StreamResponse(headers=signed)
+    await response.prepare(request)
+    await response.write(b"id: 0\ndata: word\n\nid: 1\nda")
+    await asyncio.sleep(0.05)
+    assert request.transport is not None
+    request.transport.abort()
+    return response
+
+
+async def go_on(worker: StandInWorker, request: web.Request) -> web.StreamResponse:
+    """Go on with a stream after the event that the request names."""
+    request_id = request.headers["X-Request-Id"]
+    worker.runs.append(request_id)
+    response = web.StreamResponse(headers={"X-Request-Id": request_id, SIGNATURE: "second"})
+    await response.prepare(request)
+    for number in range(int(request.headers["Last-Event-Id"]) + 1, 3):
+        await response.write(f"id: {number}\ndata: word\n\n".encode())
+    await response.write_eof()
+    return response
+
+
 async def hang(worker: StandInWorker, request: web.Request) -> web.StreamResponse:
     """Work without ever answering."""
     worker.runs.append(request.headers["X-Request-Id"])
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import pytest
 from aiohttp import web
 from platform_world import (
@@ -18,11 +19,13 @@
     document,
     fail,
     fail_without_promise,
+    go_on,
     hang,
     refuse,
     refuse_hand_over,
     run_and_break,
     run_and_cut,
+    run_and_cut_inside_an_event,
     running,
 )
 
@@ -337,6 +340,70 @@
         assert len(decode.runs) == 1
 
 
+def resumable(version: int, attempts: int) -> bytes:
+    routes = json.loads(document(1))["routes"]
+    advice = {**routes[1], "resumable": True, "max_attempts": attempts}
+    return document(version, routes=[routes[0], advice])
+
+
+async def test_a_stream_is_taken_up_at_another_worker_inside_one_answer(tmp_path: Path) -> None:
+    decoders = [StandInWorker(name, "wine-llm", "decode") for name in ("d1", "d2")]
+    async with running(tmp_path, *decoders) as world:
+        assert (await world.put_configuration(resumable(3, attempts=2), 2)).status == 200
+        while any(not one.runs for one in decoders):
+            await world.request_until_served("/advice/x")
+        response, body = await cut_once(world, decoders)
+        assert (response.status, body) == (200, EVENTS)
+        assert response.headers[SIGNATURE] == "first"
+        taken_up = next(one for one in decoders if one.arrivals[-1].headers.get("Last-Event-Id"))
+        assert taken_up.arrivals[-1].headers["Last-Event-Id"] == "0"
+        assert taken_up.arrivals[-1].headers["X-Expected-Version"] == "3"
+
+
+async def cut_once(
+    world: PlatformWorld, decoders: list[StandInWorker]
+) -> tuple[aiohttp.ClientResponse, bytes | None]:
+    """Send a request whose first worker cuts its stream and whose second one goes on."""
+    first, second = decoders
+
+    async def cut_then_let_go_on(worker: StandInWorker, request: web.Request) -> web.StreamResponse:
+        other = second if worker is first else first
+        other.answers[:] = [go_on]
+        return await run_and_cut_inside_an_event(worker, request)
+
+    for one in decoders:
+        one.answers[:] = [cut_then_let_go_on]
+    return await world.request("/advice/x")
+
+
+async def test_a_stream_that_may_not_be_taken_up_is_broken_off_visibly(tmp_path: Path) -> None:
+    decoders = [StandInWorker(name, "wine-llm", "decode") for name in ("d1", "d2")]
+    async with running(tmp_path, *decoders) as world:
+        assert (await world.put_configuration(resumable(3, attempts=1), 2)).status == 200
+        await world.request_until_served("/advice/x")
+        response, body = await cut_once(world, decoders)
+        assert (response.status, body) == (200, None)
+
+
+async def test_a_worker_that_begins_a_stream_anew_is_never_stitched_on(tmp_path: Path) -> None:
+    decoders = [StandInWorker(name, "wine-llm", "decode") for name in ("d1", "d2")]
+    async with running(tmp_path, *decoders) as world:
+        assert (await world.put_configuration(resumable(3, attempts=2), 2)).status == 200
+        await world.request_until_served("/advice/x")
+        for one in decoders:
+            # Whoever is second answers well, which is from the first event on.
+            one.answers.append(run_and_cut_inside_an_event)
+        decoders[1].answers.clear()
+        for _ in range(12):
+            if not decoders[0].answers:
+                break
+            response, body = await world.request("/advice/x")
+            assert body in {EVENTS, None}
+        assert not decoders[0].answers
+        assert body is None
+        assert response.headers[SIGNATURE] == "first"
+
+
 async def test_the_work_for_a_client_that_leaves_is_dropped(tmp_path: Path) -> None:
     one = stock("s1")[0]
     async with running(tmp_path, one) as world:
