--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -315,6 +315,7 @@
             configuration.circuit, admission.load_bound_factor, admission.load_bound_minimum
         )
         capacities = [service.engine.kv_capacity_tokens for service in configuration.services]
+        self.prompts.set_policy(configuration.placement)
         self.prompts.set_capacity(max(capacities, default=0))
 
     def _advance_confirmation(self, now: float) -> None:
--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from orchidpath.placement.read_queues import ReadQueues
+from orchidpath.wire.configuration import PlacementPolicy
 from orchidpath.wire.messages import (
     PROMPT_READ_SUFFIX,
     AttemptReport,
@@ -106,6 +107,11 @@
         self._awaited: OrderedDict[tuple[str, str], PromptShape] = OrderedDict()
         self._reading: dict[tuple[str, int], str] = {}
         self._capacity_tokens = DEFAULT_CAPACITY_TOKENS
+        self._policy = PlacementPolicy()
+
+    def set_policy(self, policy: PlacementPolicy) -> None:
+        """Take which mechanisms are in use."""
+        self._policy = policy
 
     def set_capacity(self, kv_capacity_tokens: int) -> None:
         """Take the capacity of a worker's KV cache; 0 when it is not known."""
@@ -211,6 +217,8 @@
             Monotonic seconds.
         """
         prompt = request.prompt
+        if not self._policy.postponement:
+            return 0.0
         if prompt is None or not request.may_wait or prompt.shared_tokens < LEAST_AWAITED_TOKENS:
             return 0.0
         first = request.legs[0]
@@ -248,6 +256,8 @@
         if not holders:
             # A former leader, and every router that decides alone, sends it to the first one.
             holders = set(leg.candidates[:1])
+        if not self._policy.prefix_affinity:
+            holders = set(leg.candidates)
 
         def cost(worker_id: str) -> float:
             tokens = float(prompt.own_tokens)
@@ -267,7 +277,7 @@
         now: float,
     ) -> bool:
         """Whether the first decode candidate reads the prompt at a lower cost than a pair."""
-        if not prefill.candidates or not direct.candidates:
+        if not prefill.candidates or not direct.candidates or not self._policy.direct_reads:
             return False
         if self._tokens_to_read(direct.candidates[0], prompt) > LONGEST_DIRECT_READ_TOKENS:
             return False
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -301,6 +301,26 @@
     direct_prompt_tokens: int = 0
 
 
+class PlacementPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Mechanisms that place the prompts of forwarded requests.
+
+    Each can be switched off, to measure what it is worth.
+
+    Attributes
+    ----------
+    prefix_affinity
+        Prompts go to workers that hold their shared part, or to which the ring gives it.
+    postponement
+        A request waits while its shared part is being read by another one.
+    direct_reads
+        A decode worker reads a prompt itself when it would have done so sooner than a pair.
+    """
+
+    prefix_affinity: bool = True
+    postponement: bool = True
+    direct_reads: bool = True
+
+
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A whole configuration.
 
@@ -316,6 +336,8 @@
         Bounds on retries.
     admission
         Bounds on what a router takes in.
+    placement
+        Mechanisms that place prompts.
     forward_routes
         Routes whose requests are passed on unread.
     edge_limits
@@ -329,6 +351,7 @@
     circuit: CircuitPolicy = CircuitPolicy()
     retry: RetryPolicy = RetryPolicy()
     admission: AdmissionPolicy = AdmissionPolicy()
+    placement: PlacementPolicy = PlacementPolicy()
     forward_routes: list[ForwardRoute] = []
     edge_limits: EdgeLimits = EdgeLimits()
     label: int = 0
--- a/tests/adapter/test_platform_formats.py
+++ b/tests/adapter/test_platform_formats.py
@@ -16,6 +16,7 @@
     router_settings,
     settings_stamp,
 )
+from orchidpath.common.errors import OrchidpathError
 from orchidpath.common.settings_file import load_settings
 from orchidpath.router.forward_dialect import Order, UnreadableRequestError, WorkerLoad
 from orchidpath.wire.backend import OrderKind, WorkerOrder
@@ -200,3 +201,13 @@
     assert form.read_answer(order, 200, b"").accepted
     assert not form.read_answer(order, 409, b"").accepted
     assert not form.read_answer(order, 412, b"").accepted
+
+
+def test_an_unknown_switch_is_refused_with_its_name(tmp_path: Path) -> None:
+    path = tmp_path / "policies.toml"
+    path.write_text("[placement]\npostponment = false\n")
+    with pytest.raises(OrchidpathError, match="postponment"):
+        load_settings(path, Policies)
+    path.write_text("[placement]\npostponement = false\n")
+    policies = load_settings(path, Policies)
+    assert not read_document(document(9), policies).placement.postponement
--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -11,6 +11,7 @@
     PromptPlacement,
 )
 from orchidpath.placement.read_queues import READ_TTL_SECONDS
+from orchidpath.wire.configuration import PlacementPolicy
 from orchidpath.wire.messages import (
     PROMPT_READ_SUFFIX,
     AttemptEffect,
@@ -256,3 +257,21 @@
         place(placement, request(number, prefix=number, own=60_000, ring=("p2",)))
     ordered = placement.order(request(4), idle, 0.02)
     assert ordered.legs[0].candidates[0] == "p3"
+
+
+def test_each_mechanism_can_be_switched_off() -> None:
+    placement = PromptPlacement()
+    asked = request(1, ring=("p2", "p1", "p3"))
+    place(placement, asked)
+    assert postponed_seconds(placement, request(2), 0.01) > 0
+    placement.set_policy(PlacementPolicy(postponement=False))
+    assert postponed_seconds(placement, request(2), 0.01) == 0.0
+    read(placement, asked, "p2", 0.5)
+    assert place(placement, request(3), 0.6)[Stage.PREFILL] == "p2"
+    placement.set_policy(PlacementPolicy(prefix_affinity=False))
+    assert place(placement, request(4), 0.6)[Stage.PREFILL] == "p1"
+    placement.set_policy(PlacementPolicy())
+    busy(placement)
+    assert Stage.PREFILL not in place(placement, request(9, shared=0, own=1_000), 0.7)
+    placement.set_policy(PlacementPolicy(direct_reads=False))
+    assert Stage.PREFILL in place(placement, request(10, shared=0, own=1_000), 0.7)
