Connections rest for as long as their worker says that it keeps them

Ruled out: requests lost on connections that a worker forgets sooner, which may happen after any rest.

--- a/src/orchidpath/router/upstream.py
+++ b/src/orchidpath/router/upstream.py
@@ -23,7 +23,10 @@
 """A worker that takes longer to accept a connection is taken as unreachable."""
 
 LONGEST_REST_SECONDS = 4.0
-"""A connection that has rested for longer is closed and not used again."""
+"""A connection to a worker that says nothing of it rests no longer; then it is closed."""
+
+LONGEST_TOLD_REST_SECONDS = 30.0
+"""The same where a worker says how long it keeps connections."""
 
 REST_MARGIN_SECONDS = 1.0
 """A connection is given up this long before its worker would close it."""
@@ -360,5 +363,5 @@
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.strip().isdigit():
-            return min(max(int(number) - REST_MARGIN_SECONDS, 0.0), LONGEST_REST_SECONDS)
+            return min(max(int(number) - REST_MARGIN_SECONDS, 0.0), LONGEST_TOLD_REST_SECONDS)
     return LONGEST_REST_SECONDS
