--- a/src/orchidpath/cli/report.py
+++ b/src/orchidpath/cli/report.py
@@ -7,6 +7,7 @@
 
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.tools.journal import JournalEntry, read_journal
+from orchidpath.tools.worth_losses import loss_table
 
 COMMIT_CHARACTERS = 7
 """Characters of a commit's hash that are printed."""
@@ -32,8 +33,15 @@
     type=click.Path(dir_okay=False, path_type=Path),
     help="Draw the scores into this file; needs the extra 'plot'.",
 )
-def report(folder: Path, site: str | None, trials: bool, plot: Path | None) -> None:
+@click.option("--losses", metavar="ID", help="Print where the days of this run lose their worth.")
+def report(
+    folder: Path, site: str | None, trials: bool, plot: Path | None, losses: str | None
+) -> None:
     """Print scores and hunts from a journal, oldest first."""
+    if losses is not None:
+        for line in losses_of(folder, losses):
+            click.echo(line)
+        return
     entries = [
         entry
         for entry in read_journal(folder)
@@ -50,6 +58,24 @@
         click.echo(f"drawn: {plot}")
 
 
+class UnknownRunError(OrchidpathError):
+    """The journal has no run with that id."""
+
+
+def losses_of(folder: Path, run_id: str) -> list[str]:
+    """Return the table of where the days of a run lose their worth.
+
+    Raises
+    ------
+    UnknownRunError
+        The journal has no such run.
+    """
+    for entry in read_journal(folder):
+        if entry.id == run_id:
+            return loss_table(entry)
+    raise UnknownRunError(f"{folder} has no run {run_id!r}")
+
+
 def score_line(entry: JournalEntry) -> str:
     """Return the line of a score."""
     days = " ".join(f"{day.worth:.2f}" for day in entry.days if day.worth is not None)
--- a/src/orchidpath/tools/journal.py
+++ b/src/orchidpath/tools/journal.py
@@ -8,6 +8,25 @@
 from orchidpath.common.errors import OrchidpathError
 
 
+class JournalPart(msgspec.Struct, frozen=True, array_like=True):
+    """One part of a day's worth: its weight, and its value between 0 and 1."""
+
+    name: str
+    weight: float
+    value: float | None
+
+
+class JournalPrice(msgspec.Struct, frozen=True, array_like=True):
+    """One price of a day: how much of it there was, and what it costs in worth.
+
+    Both are None where the day was not counted.
+    """
+
+    name: str
+    amount: float | None
+    cost: float | None
+
+
 class JournalDay(msgspec.Struct, frozen=True, kw_only=True):
     """One played day.
 
@@ -21,12 +40,21 @@
         Where the worth lies between the day's marks, 0 to 1; None for a day without marks.
     rules
         Broken rules, with how often.
+    parts
+        Parts of the worth.
+    prices
+        What is taken from it.
+    by_class
+        Share of the worth that each kind of request earned; None where nothing is owed.
     """
 
     name: str = ""
     worth: float | None = msgspec.field(name="G", default=None)
     score: float | None = None
     rules: dict[str, Any] = {}
+    parts: tuple[JournalPart, ...] = ()
+    prices: tuple[JournalPrice, ...] = ()
+    by_class: tuple[float | None, ...] = ()
 
 
 class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/cli/test_report.py
+++ b/tests/cli/test_report.py
@@ -86,3 +86,32 @@
 def test_the_journal_of_this_repository_can_be_read() -> None:
     entries = read_journal(Path(__file__).parents[2] / "journal")
     assert any(entry.command == "score" for entry in entries)
+
+
+def test_the_losses_of_a_run_are_a_table_with_the_dearest_reason_first(tmp_path: Path) -> None:
+    day = {
+        "G": 0.8,
+        "name": "quiet-1",
+        "parts": [["whole day", 0.75, 0.96], ["worst windows", 0.25, 0.5]],
+        "prices": [["machines", 400.0, 0.03], ["orders", 2.0, 0.0001], ["unknown", None, None]],
+        "by_class": [0.9, 0.99, None],
+    }
+    write_entry(tmp_path, "a", days=[day, {**day, "name": "scale-1", "G": 0.7}])
+    exit_code, output = run_report(tmp_path, "--losses", "a")
+    assert exit_code == ExitCode.OK
+    names = [line[:43].strip() for line in output.splitlines()]
+    assert names[2:] == [
+        "worth",
+        "worst windows",
+        "whole day",
+        "machines",
+        "served, kind 1",
+        "served, kind 2",
+    ]
+    assert output.splitlines()[3].split()[-2:] == ["0.1250", "0.1250"]
+
+
+def test_an_unknown_run_is_named(tmp_path: Path) -> None:
+    write_entry(tmp_path, "a")
+    exit_code, _ = run_report(tmp_path, "--losses", "b")
+    assert exit_code != ExitCode.OK
