--- a/src/orchidpath/simulation/scenarios.py
+++ b/src/orchidpath/simulation/scenarios.py
@@ -26,6 +26,7 @@
 ORDER_PERIOD_SECONDS = 1.0
 WORKER_CHANGE_PERIOD_SECONDS = 2.0
 LONG_FREEZE_SECONDS = 21.0
+POWER_CUTS_AT_SECONDS = (4.0, 14.0, 25.0, 36.0)
 
 
 class Scenario(StrEnum):
@@ -39,6 +40,8 @@
     CONTROL_LOST = "control_lost"
     DISK_LOSS = "disk_loss"
     SECOND_LOSS = "second_loss"
+    DISK_LOST_IN_POWER_CUT = "disk_lost_in_power_cut"
+    CONTROL_HALVED = "control_halved"
     SLOW_DISKS = "slow_disks"
     RESTARTS = "restarts"
     BAD_NETWORK = "bad_network"
@@ -101,6 +104,7 @@
         self._random = fleet.world.random
         self._active = True
         self.second_losses = 0
+        self.power_cuts = 0
 
     def stop(self) -> None:
         """Strike no more."""
@@ -117,6 +121,8 @@
             Scenario.CONTROL_LOST: [],
             Scenario.DISK_LOSS: [self._lose_disk],
             Scenario.SECOND_LOSS: [],
+            Scenario.DISK_LOST_IN_POWER_CUT: [],
+            Scenario.CONTROL_HALVED: [self._halve_control],
             Scenario.SLOW_DISKS: [self._slow_disk, self._full_disk],
             Scenario.RESTARTS: [],
             Scenario.BAD_NETWORK: [self._kill_router],
@@ -148,26 +154,24 @@
         ]
 
     def _begin_single(self, scenario: Scenario) -> None:
-        match scenario:
-            case Scenario.LONG_FREEZE:
-                self._world.schedule(2.0, self._freeze_leader_long)
-            case Scenario.CONTROL_LOST:
-                self._world.schedule(3.0, self._lose_control_tier)
-            case Scenario.SECOND_LOSS:
-                self._world.schedule(3.0, self._lose_and_repair)
-            case Scenario.RESTARTS:
-                self._world.schedule(5.0, self._restart_in_turn)
-                self._world.schedule(22.0, self._restart_at_once)
-            case Scenario.BAD_NETWORK:
-                self._worsen_network()
-            case Scenario.WITNESSES_RESTARTED:
-                self._world.schedule(2.0, self._cut_off_seed_routers)
-            case Scenario.LATE_ANSWERS:
-                self._world.network = NetworkFaults(late=0.3, delay_seconds=0.05)
-            case Scenario.ROUTERS_UNHEARD:
-                self._world.schedule(2.0, self._hide_routers_from_control)
-            case _:
-                pass
+        """Schedule what strikes once, or a few times, at a known moment."""
+        moments: dict[Scenario, list[tuple[float, Callable[[], None]]]] = {
+            Scenario.LONG_FREEZE: [(2.0, self._freeze_leader_long)],
+            Scenario.CONTROL_LOST: [(3.0, self._lose_control_tier)],
+            Scenario.SECOND_LOSS: [(3.0, self._lose_and_repair)],
+            Scenario.RESTARTS: [(5.0, self._restart_in_turn), (22.0, self._restart_at_once)],
+            Scenario.WITNESSES_RESTARTED: [(2.0, self._cut_off_seed_routers)],
+            Scenario.ROUTERS_UNHEARD: [(2.0, self._hide_routers_from_control)],
+            Scenario.DISK_LOST_IN_POWER_CUT: [
+                (seconds, self._lose_disk_in_power_cut) for seconds in POWER_CUTS_AT_SECONDS
+            ],
+        }
+        for seconds, strike in moments.get(scenario, []):
+            self._world.schedule(seconds, strike)
+        if scenario is Scenario.BAD_NETWORK:
+            self._worsen_network()
+        if scenario is Scenario.LATE_ANSWERS:
+            self._world.network = NetworkFaults(late=0.3, delay_seconds=0.05)
 
     def _strike(self, choices: list[Callable[[], None]]) -> None:
         if self._active:
@@ -308,6 +312,33 @@
         self.second_losses += 1
         self._world.schedule(1.0, second.start)
 
+    def _lose_disk_in_power_cut(self) -> None:
+        """Empty one disk while every process loses power, voters and all others alike.
+
+        What was confirmed is then held by those voters only that had synced it and still have their
+        disks. The check is that it was not confirmed on one of them alone.
+        """
+        leader = self._fleet.leader()
+        if leader is None or not self._is_whole(leader):
+            self._world.schedule(0.05, self._lose_disk_in_power_cut)
+            return
+        lost = self._pick_control()
+        for process in [*self._fleet.controls, *self._fleet.routers]:
+            process.kill()
+            self._world.schedule(self._random.uniform(0.3, 1.5), process.start)
+        lost.lose_disk()
+        self.power_cuts += 1
+
+    def _halve_control(self) -> None:
+        """Cut the control processes into two halves that everybody else still reaches."""
+        names = [control.address for control in self._fleet.controls]
+        self._random.shuffle(names)
+        half = len(names) // 2
+        for one in names[:half]:
+            for other in names[half:]:
+                self._world.cut(one, other)
+        self._world.schedule(self._random.uniform(0.5, 6.0), self._heal_links)
+
     def _restart_in_turn(self) -> None:
         everything = [*self._fleet.controls, *self._fleet.routers]
         self._random.shuffle(everything)
@@ -368,6 +399,8 @@
     fleet.check_recovered()
     if scenario is Scenario.SECOND_LOSS and driver.second_losses == 0:
         raise InvariantError("the repair after the first loss never ended")
+    if scenario is Scenario.DISK_LOST_IN_POWER_CUT and driver.power_cuts == 0:
+        raise InvariantError("no power cut struck a whole fleet")
 
 
 def _run_with_requests(fleet: RequestFleet, scenario: Scenario) -> None:
