A KV cache is handed over inside the zone of its reader

Cause: the leader ordered decode workers by load alone, which undid the routers' order by zone; and where it chose another prefill worker than the ring's first, all candidates lay in the wrong zone. Moves between zones take twice as long and are priced higher.

--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -299,6 +299,7 @@
             workers = self._state.workers()
             self.circuits.set_workers(workers)
             self.prompts.set_workers(frozenset(worker.worker_id for worker in workers))
+            self.prompts.set_zones({worker.worker_id: worker.zone for worker in workers})
 
     def _in_flight(self, now: float) -> dict[str, int]:
         return {view.worker_id: view.in_flight for view in self.circuits.view(now)}
--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -14,7 +14,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -58,6 +58,12 @@
 MOVED_TOKEN_WEIGHT = 0.05
 """Cost of moving the KV cache of one token, in tokens that could be read meanwhile."""
 
+FAR_MOVE_WEIGHT = 0.25
+"""Cost of moving the KV cache of one token to another zone, beyond that of moving it in its zone.
+
+Moves between zones take longer and cost money. In the same unit.
+"""
+
 STREAM_TOKENS = 500
 """Cost of reading beside one running stream, in tokens."""
 
@@ -108,6 +114,7 @@
         self._reading: dict[tuple[str, int], str] = {}
         self._capacity_tokens = DEFAULT_CAPACITY_TOKENS
         self._policy = PlacementPolicy()
+        self._zones: Mapping[str, str] = {}
 
     def set_policy(self, policy: PlacementPolicy) -> None:
         """Take which mechanisms are in use."""
@@ -125,6 +132,10 @@
             del self._reading[key]
         self._queues.set_workers(worker_ids)
 
+    def set_zones(self, zones: Mapping[str, str]) -> None:
+        """Take the zone of every worker."""
+        self._zones = zones
+
     def waiting_tokens(self, worker_id: str) -> int:
         """Return the tokens that a worker still has to read, as far as is known."""
         return self._queues.waiting_tokens(worker_id)
@@ -170,7 +181,14 @@
         direct = self._sorted(decode, direct_cost)
         if self._is_direct(prefill, direct, direct_cost, prompt, now):
             return msgspec.structs.replace(request, legs=(direct,))
-        ordered = self._sorted(decode, load_cost)
+        reader_zone = self._zones.get(next(iter(prefill.candidates), ""), "")
+        far_cost = FAR_MOVE_WEIGHT * (prompt.own_tokens + prompt.shared_tokens)
+
+        def hand_over_cost(worker_id: str) -> float:
+            is_far = self._policy.near_pairs and self._zones.get(worker_id, "") != reader_zone
+            return load_cost(worker_id) + (far_cost if is_far else 0.0)
+
+        ordered = self._sorted(decode, hand_over_cost)
         return msgspec.structs.replace(request, legs=(prefill, ordered))
 
     def decided(self, request: DecisionRequest, reply: DecisionReply, now: float) -> float:
--- a/src/orchidpath/routing/pairing.py
+++ b/src/orchidpath/routing/pairing.py
@@ -13,7 +13,8 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import zip_longest
 
 import msgspec
 
@@ -244,7 +245,22 @@
                 load,
             )
 
-        return self._leg(Stage.DECODE, sorted(considered, key=cost), query.tried_decode)
+        ordered = sorted(considered, key=cost)
+        if not query.prefill_worker_id:
+            # Whoever decides may choose another prefill worker, and wants a decode worker near it.
+            free = [worker_id for worker_id in ordered if not any(cost(worker_id)[:3])]
+            ordered = [*self._spread_over_zones(free), *ordered[len(free) :]]
+        return self._leg(Stage.DECODE, ordered, query.tried_decode)
+
+    def _spread_over_zones(self, ordered: Sequence[str]) -> list[str]:
+        """Put the best of every other zone among the first candidates, after half of the best."""
+        kept = self._candidate_limit // 2
+        by_zone: dict[str, list[str]] = {}
+        for worker_id in ordered[kept:]:
+            by_zone.setdefault(self._zones.get(worker_id, ""), []).append(worker_id)
+        nearest = by_zone.pop(self._zones.get(ordered[0], ""), []) if ordered else []
+        by_turns = [one for group in zip_longest(*by_zone.values()) for one in group]
+        return [*ordered[:kept], *(one for one in by_turns if one is not None), *nearest]
 
     def plain_leg(self, query: PlainQuery, in_flight: Mapping[str, int]) -> Leg:
         """Order the workers of a plain service: the less loaded of two random ones first.
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -314,11 +314,14 @@
         A request waits while its shared part is being read by another one.
     direct_reads
         A decode worker reads a prompt itself when it would have done so sooner than a pair.
+    near_pairs
+        A KV cache is handed over inside a zone where that is not much busier.
     """
 
     prefix_affinity: bool = True
     postponement: bool = True
     direct_reads: bool = True
+    near_pairs: bool = True
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -275,3 +275,24 @@
     assert Stage.PREFILL not in place(placement, request(9, shared=0, own=1_000), 0.7)
     placement.set_policy(PlacementPolicy(direct_reads=False))
     assert Stage.PREFILL in place(placement, request(10, shared=0, own=1_000), 0.7)
+
+
+ZONES = {"p1": "z1", "p2": "z2", "p3": "z1", "d1": "z1", "d2": "z2"}
+
+
+def test_a_cache_is_handed_over_inside_the_zone_of_its_reader() -> None:
+    placement = PromptPlacement()
+    placement.set_zones(ZONES)
+    assert place(placement, request(1)) == {Stage.PREFILL: "p1", Stage.DECODE: "d1"}
+    chosen = place(placement, request(2, prefix=8, ring=("p2",)))
+    assert chosen == {Stage.PREFILL: "p2", Stage.DECODE: "d2"}
+    placement.set_policy(PlacementPolicy(near_pairs=False))
+    assert place(placement, request(3, prefix=9, ring=("p2",)))[Stage.DECODE] == "d1"
+
+
+def test_a_much_busier_worker_of_the_zone_is_passed_over() -> None:
+    placement = PromptPlacement()
+    placement.set_zones(ZONES)
+    loads = {"d1": 60, "d2": 1}
+    chosen = place(placement, request(1), in_flight=lambda one: loads.get(one, 0))
+    assert chosen[Stage.DECODE] == "d2"
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -10,6 +10,9 @@
 
 from orchidpath.common.clock import monotonic_seconds
 from orchidpath.router.upstream import (
+    LONGEST_REST_SECONDS,
+    LONGEST_TOLD_REST_SECONDS,
+    REST_MARGIN_SECONDS,
     BrokenAnswerError,
     NoConnectionError,
     UpstreamConnection,
@@ -219,3 +222,30 @@
         now[0] = 2.1
         assert not connection.is_usable
         pool.close_rested()
+
+
+@pytest.mark.parametrize(
+    ("header", "rests_seconds"),
+    [
+        (b"", LONGEST_REST_SECONDS),
+        (b"\r\nKeep-Alive: timeout=10", 10.0 - REST_MARGIN_SECONDS),
+        (b"\r\nKeep-Alive: timeout=600", LONGEST_TOLD_REST_SECONDS),
+        (b"\r\nKeep-Alive: timeout=soon", LONGEST_REST_SECONDS),
+    ],
+)
+async def test_a_connection_rests_for_as_long_as_its_worker_says(
+    header: bytes, rests_seconds: float
+) -> None:
+    now = [0.0]
+    pool = UpstreamPool(lambda: now[0])
+    kept = OWN.replace(b"\r\n\r\n", header + b"\r\n\r\n", 1)
+    async with worker(says(kept)) as address:
+        connection = await order(pool, address)
+        await connection.read_head()
+        await body(connection)
+        pool.release(address, connection)
+        now[0] = rests_seconds - 0.1
+        assert connection.is_usable
+        now[0] = rests_seconds + 0.1
+        assert not connection.is_usable
+        pool.close_rested()
--- a/tests/routing/test_pairing.py
+++ b/tests/routing/test_pairing.py
@@ -180,3 +180,30 @@
     selector.update_view(view)
     assert selector.prefill_leg(query(), {}).candidates == ()
     assert before != ()
+
+
+def many_zones() -> PairSelector:
+    decode = [worker(f"d{number}", zone=f"z{number % 4 + 1}") for number in range(40)]
+    return selector_of([*PREFILL, *decode])
+
+
+def test_decode_candidates_come_from_every_zone_and_half_of_them_are_near() -> None:
+    zones = {f"d{number}": f"z{number % 4 + 1}" for number in range(40)}
+    for number in range(50):
+        asked = query(request_id=f"r{number}")
+        _, decode = many_zones().model_legs(asked, {}, 0.0)
+        found = [zones[worker_id] for worker_id in decode.candidates]
+        assert found[: CANDIDATE_LIMIT // 2] == ["z1"] * (CANDIDATE_LIMIT // 2)
+        assert set(found) == {"z1", "z2", "z3", "z4"}
+        assert len(set(decode.candidates)) == CANDIDATE_LIMIT
+
+
+def test_a_prompt_that_was_read_has_candidates_near_its_reader_only() -> None:
+    (decode,) = many_zones().model_legs(query(prefill_worker_id="p1"), {}, 0.0)
+    assert {int(worker_id[1:]) % 4 for worker_id in decode.candidates} == {0}
+
+
+def test_tried_workers_of_another_zone_do_not_take_the_place_of_untried_ones() -> None:
+    tried = tuple(f"d{number}" for number in range(40) if number % 4)
+    _, decode = many_zones().model_legs(query(tried_decode=tried), {}, 0.0)
+    assert not set(decode.candidates) & set(tried)
