--- a/tests/adapter/platform_world.py
+++ b/tests/adapter/platform_world.py
@@ -272,6 +272,7 @@
         self._ids = count(1)
         self._beats: asyncio.Task[None] | None = None
         self.silent: set[str] = set()
+        self._stopped: set[int] = set()
 
     def settings_file(self, number: int) -> bytes:
         """Return a machine's settings as the platform writes them."""
@@ -327,7 +328,8 @@
             self._beats.cancel()
         await self._session.close()
         await asyncio.gather(*(router.stop(0.1) for router in self.routers))
-        await asyncio.gather(*(control.stop(0.0) for control in self.controls))
+        left = [one for number, one in enumerate(self.controls) if number not in self._stopped]
+        await asyncio.gather(*(control.stop(0.0) for control in left))
         for worker in self.workers:
             await worker.stop()
 
@@ -366,11 +368,24 @@
                     return await response.read()
                 await asyncio.sleep(0.1)
 
+    async def read_configuration(self, number: int) -> aiohttp.ClientResponse:
+        """Read the configuration once."""
+        return await self._session.get(self.control_url(number) + "/config")
+
     async def beat(self, worker: StandInWorker, state: str = "ready", number: int = 0) -> int:
-        response = await self._session.put(
-            f"{self.control_url(number)}/instances/{worker.worker_id}", json=worker.heartbeat(state)
-        )
-        return response.status
+        return await self.put_instance(worker, worker.heartbeat(state), number)
+
+    async def put_instance(
+        self, worker: StandInWorker, heartbeat: dict[str, Any], number: int
+    ) -> int:
+        """Send a heartbeat as it is, to one machine."""
+        url = f"{self.control_url(number)}/instances/{worker.worker_id}"
+        return (await self._session.put(url, json=heartbeat)).status
+
+    async def stop_control(self, number: int) -> None:
+        """Stop one control process for good."""
+        self._stopped.add(number)
+        await self.controls[number].stop(0.0)
 
     async def delete(self, worker: StandInWorker, number: int = 0) -> int:
         url = f"{self.control_url(number)}/instances/{worker.worker_id}"
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -444,6 +444,41 @@
         assert workers[0].arrivals == []
 
 
+@pytest.mark.parametrize("leaves", ["draining", "deleted"])
+async def test_a_heartbeat_that_comes_late_does_not_bring_a_worker_back(
+    tmp_path: Path, leaves: str
+) -> None:
+    workers = stock("s1", "s2")
+    async with running(tmp_path, *workers) as world:
+        await world.request_until_served("/stock/")
+        world.silent.add("s1")
+        late = workers[0].heartbeat()
+        await _depart(world, workers[0], leaves)
+        for number in range(3):
+            await world.put_instance(workers[0], late, number)
+        await asyncio.sleep(1.7)
+        workers[0].arrivals.clear()
+        for number in range(12):
+            response, _ = await world.request("/stock/", number % 3)
+            assert response.status == 200
+        assert workers[0].arrivals == []
+
+
+async def test_a_machine_that_cannot_be_sure_of_the_newest_configuration_says_so(
+    tmp_path: Path,
+) -> None:
+    async with running(tmp_path) as world:
+        assert (await world.read_configuration(0)).status == 200
+        await world.stop_control(1)
+        await world.stop_control(2)
+        async with asyncio.timeout(WAIT_SECONDS):
+            # A leader serves reads until its lease has lapsed, and nothing newer can be confirmed.
+            while (await world.read_configuration(0)).status == 200:
+                await asyncio.sleep(0.05)
+        for _ in range(3):
+            assert (await world.read_configuration(0)).status == 503
+
+
 async def _depart(world: PlatformWorld, worker: StandInWorker, leaves: str) -> None:
     async with asyncio.timeout(WAIT_SECONDS):
         while True:
