--- a/src/orchidpath/router/forward_runner.py
+++ b/src/orchidpath/router/forward_runner.py
@@ -10,8 +10,8 @@
 
 from orchidpath.circuit.classification import Observed
 from orchidpath.forwarding.progress import FailureKind, FinalStatus, ForwardProgress, ReturnTime
-from orchidpath.forwarding.resumable_stream import ResumableStream, StitchedStreamError
 from orchidpath.placement.prompts import LONGEST_DIRECT_READ_TOKENS
+from orchidpath.router.answer_relay import AnswerRelay
 from orchidpath.router.decision_maker import DecisionSubject
 from orchidpath.router.forward_attempts import (
     Chosen,
@@ -117,11 +117,10 @@
         self._wants_pair = self._is_model and facts.prompt_tokens > shortest
         self._reads_prompt = self._wants_pair
         self._hand_over_was_lost = False
-        self._committed = False
-        self._stream: ResumableStream | None = None
-        if route.streaming and route.repetition is Repetition.RESUMED:
-            self._stream = ResumableStream()
-        self._weights_version: int | None = None
+        self._answer = AnswerRelay(
+            caller,
+            may_be_taken_up=route.streaming and route.repetition is Repetition.RESUMED,
+        )
 
     async def run(self) -> None:
         """Serve the request to its end."""
@@ -172,7 +171,7 @@
         """
         if self._prompt is not None or not self._wants_pair or self._hand_over_was_lost:
             return True
-        if self._committed:
+        if self._answer.has_begun:
             # The rest of a stream that broke off: it can't be refused any more.
             return True
         if self._facts.prompt_tokens <= LONGEST_DIRECT_READ_TOKENS:
@@ -319,7 +318,7 @@
         """Whether an answer may reach the caller as it is."""
         if head.status in UNANSWERABLE_PROMISES or facts.is_encoded:
             return False
-        if self._committed:
+        if self._answer.has_begun:
             return head.status == 200 and facts.is_signed
         if 200 <= head.status < 300:
             return facts.is_signed
@@ -335,15 +334,14 @@
         weights_version: int | None,
     ) -> None:
         """Pass an answer on as it comes; from here on nothing else can be answered."""
-        self._begin_answer(head, weights_version)
+        dialect = self._environment.dialect
+        headers = dialect.answer_headers(head.headers, keep_signature=True)
+        self._answer.begin(head.status, tuple(headers), weights_version)
         part = first
         while part is not None:
-            self._pass_part_on(part)
+            self._answer.pass_on(part)
             part = await connection.read_body()
-        rest = self._stream.end() if self._stream is not None else b""
-        if rest:
-            self._caller.send_body(rest)
-        self._caller.send_end()
+        self._answer.end()
         self._environment.pool.release(chosen.address, connection)
         if head.status >= 400:
             self._attempts.ended(chosen, Observed.HTTP_STATUS, head.status)
@@ -351,26 +349,6 @@
             self._attempts.ended(chosen, Observed.SUCCESS)
         self._environment.metrics.answered(self._route.name, str(head.status))
 
-    def _begin_answer(self, head: AnswerHead, weights_version: int | None) -> None:
-        """Write the head, once: a stream that was taken up keeps that of its first worker."""
-        if self._committed:
-            return
-        if head.status != 200 or any(name == b"content-length" for name, _ in head.headers):
-            self._stream = None
-        headers = self._environment.dialect.answer_headers(head.headers, keep_signature=True)
-        self._committed = True
-        self._weights_version = weights_version
-        self._caller.send_head(AnswerHead(status=head.status, headers=tuple(headers)))
-
-    def _pass_part_on(self, part: bytes) -> None:
-        if self._stream is not None:
-            try:
-                part = self._stream.take(part)
-            except StitchedStreamError as error:
-                raise BrokenAnswerError(str(error)) from error
-        if part:
-            self._caller.send_body(part)
-
     def _refused(self, chosen: Chosen, head: AnswerHead, facts: AnswerFacts) -> bool:
         """Take a worker's promise that it did not run the request."""
         is_full = facts.load is not None and facts.load.is_full
@@ -406,17 +384,14 @@
             self._handed_over()
             self._prompt = None
             self._reads_prompt = self._wants_pair and self._progress.has_workers_left()
-        if self._committed and not self._can_take_up_stream():
-            self._caller.break_off()
+        if self._answer.has_begun and not self._can_go_on():
+            self._answer.close()
             raise CallerGoneError("the answer was broken off")
         return False
 
-    def _can_take_up_stream(self) -> bool:
+    def _can_go_on(self) -> bool:
         """Whether another worker can go on with the answer that has begun."""
-        if self._stream is None:
-            return False
-        self._stream.broke_off()
-        return self._stream.can_be_taken_up and self._progress.has_workers_left()
+        return self._answer.broke_off() and self._progress.has_workers_left()
 
     def _order(self, chosen: Chosen, *, reads_prompt: bool = False) -> Order:
         source = ""
@@ -425,10 +400,8 @@
             address = self._prompt.chosen.address
             source = self._environment.dialect.cache_source(address, self._prompt.read.handle)
             version = self._prompt.read.version
-        last_event_id = ""
-        if self._committed and self._stream is not None and not reads_prompt:
-            last_event_id = self._stream.last_event_id
-            version = self._weights_version if version is None else version
+        if version is None and not reads_prompt:
+            version = self._answer.weights_version
         return Order(
             worker_id=chosen.worker.worker_id,
             deadline_seconds=self._progress.time_left(self._clock()),
@@ -437,7 +410,7 @@
             reads_prompt=reads_prompt,
             cache_source=source,
             expected_version=version,
-            last_event_id=last_event_id,
+            last_event_id="" if reads_prompt else self._answer.last_event_id,
         )
 
     async def _open(self, chosen: Chosen, order: Order) -> UpstreamConnection | None:
@@ -495,8 +468,8 @@
     # Ends
 
     def _give_up(self, reason: str, retry_after_seconds: float) -> None:
-        if self._committed:
-            self._caller.break_off()
+        if self._answer.has_begun:
+            self._answer.close()
             self._environment.metrics.answered(self._route.name, "broken_off")
             return
         final = self._progress.final_status()
@@ -531,7 +504,7 @@
 
     def _drop_prompt(self) -> None:
         prompt, self._prompt = self._prompt, None
-        if prompt is not None and not self._committed:
+        if prompt is not None and not self._answer.has_begun:
             self._environment.tasks.spawn(self._release(prompt))
 
     async def _release(self, prompt: _ReadPrompt) -> None:
