--- a/src/orchidpath/tools/settings_reference.py
+++ b/src/orchidpath/tools/settings_reference.py
@@ -17,6 +17,7 @@
     EdgeLimits,
     EngineProfile,
     ForwardRoute,
+    PlacementPolicy,
     RetryPolicy,
     Route,
     Service,
@@ -36,6 +37,7 @@
     ("Configuration: `circuit`", CircuitPolicy),
     ("Configuration: `retry`", RetryPolicy),
     ("Configuration: `admission`", AdmissionPolicy),
+    ("Configuration: `placement`", PlacementPolicy),
 )
 
 _HEAD = """\
