--- a/tests/routing/test_pairing.py
+++ b/tests/routing/test_pairing.py
@@ -219,10 +219,8 @@
         assert len(set(candidates)) == CANDIDATE_LIMIT
     assert len(firsts) == 1
     others = {
-        selector.decode_leg(
-            query(key=prefix_key("m", f"{number} {PROMPT}"), keeps_prefix=True), "", {}, 0.0
-        ).candidates[0]
-        for number in range(200)
+        selector.decode_leg(query(key=key, keeps_prefix=True), "", {}, 0.0).candidates[0]
+        for key in range(200)
     }
     assert len(others) > 20
     home = firsts.pop()[0]
