--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -170,13 +170,8 @@
             return waiting + STREAM_TOKENS * in_flight(worker_id)
 
         if prefill is None:
-            holders = self._holders(decode, prompt)
-            again_cost = 0.0 if request.is_read else READ_AGAIN_WEIGHT * prompt.shared_tokens
-
-            def read_cost(worker_id: str) -> float:
-                return load_cost(worker_id) + (0.0 if worker_id in holders else again_cost)
-
-            return msgspec.structs.replace(request, legs=(self._sorted(decode, read_cost),))
+            ordered = self._sorted(decode, load_cost)
+            return msgspec.structs.replace(request, legs=(ordered,))
 
         def direct_cost(worker_id: str) -> float:
             tokens = self.waiting_tokens(worker_id) + self._tokens_to_read(worker_id, prompt)
@@ -271,7 +266,16 @@
                 self._will_hold(report.worker_id, prompt)
 
     def _order_prefill(self, leg: Leg, prompt: PromptShape, now: float) -> Leg:
-        holders = self._holders(leg, prompt)
+        holders = {
+            one
+            for one in leg.candidates
+            if self._holds(one, prompt) or self._reading_attempt(one, prompt) is not None
+        }
+        if not holders:
+            # A former leader, and every router that decides alone, sends it to the first one.
+            holders = set(leg.candidates[:1])
+        if not self._policy.prefix_affinity:
+            holders = set(leg.candidates)
 
         def cost(worker_id: str) -> float:
             tokens = float(prompt.own_tokens)
@@ -282,21 +286,6 @@
 
         return self._sorted(leg, cost)
 
-    def _holders(self, leg: Leg, prompt: PromptShape) -> set[str]:
-        """Return the candidates that hold a prompt's shared part, or will soon.
-
-        Where none is known to, that is the ring's first one: a former leader, and every router that
-        decides alone, sends it there.
-        """
-        if not self._policy.prefix_affinity:
-            return set(leg.candidates)
-        holders = {
-            one
-            for one in leg.candidates
-            if self._holds(one, prompt) or self._reading_attempt(one, prompt) is not None
-        }
-        return holders or set(leg.candidates[:1])
-
     def _is_direct(
         self,
         prefill: Leg,
--- a/src/orchidpath/router/decision_maker.py
+++ b/src/orchidpath/router/decision_maker.py
@@ -1,6 +1,6 @@
 """Gets a decision for each attempt, from the leader or without it, and reports how it ended."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
@@ -187,7 +187,6 @@
                 key=subject.prefix_key,
                 tried_prefill=by_stage[Stage.PREFILL].tried if Stage.PREFILL in by_stage else (),
                 tried_decode=by_stage[Stage.DECODE].tried,
-                keeps_prefix=self._reads_at_decode(subject, by_stage),
             )
             if Stage.PREFILL in by_stage:
                 legs = selector.model_legs(query, loads, now)
@@ -203,13 +202,6 @@
             legs = (selector.plain_leg(plain, loads),)
         return tuple(self._without_unusable(leg, by_stage[leg.stage].excluded) for leg in legs)
 
-    @staticmethod
-    def _reads_at_decode(subject: DecisionSubject, legs: Mapping[Stage, LegTried]) -> bool:
-        """Whether a decode worker is to read a prompt itself that shares its beginning."""
-        if subject.prompt is None or not subject.prompt.shared_tokens:
-            return False
-        return not subject.prefill_worker_id and Stage.PREFILL not in legs
-
     def _without_unusable(self, leg: Leg, excluded: tuple[str, ...]) -> Leg:
         """Leave out what this request must not use, and who told this router of its draining."""
         candidates = tuple(
--- a/src/orchidpath/routing/pairing.py
+++ b/src/orchidpath/routing/pairing.py
@@ -41,7 +41,6 @@
 
     ``key`` is the prompt's :func:`~orchidpath.routing.ring.prefix_key`. With
     ``prefill_worker_id`` set the prompt was already read there and only a decode worker is wanted.
-    With ``keeps_prefix`` the decode worker reads the prompt itself, and the ring orders them.
     """
 
     service: str
@@ -51,7 +50,6 @@
     tried_prefill: tuple[str, ...] = ()
     tried_decode: tuple[str, ...] = ()
     prefill_worker_id: str = ""
-    keeps_prefix: bool = False
 
 
 class PlainQuery(msgspec.Struct, frozen=True, kw_only=True):
@@ -247,12 +245,6 @@
                 load,
             )
 
-        if query.keeps_prefix:
-            # Half of them by the request, so that a prefix that all share wears nobody out.
-            by_prefix = pool.ring.preference(query.key, self._candidate_limit // 2)
-            mixed = dict.fromkeys((*by_prefix, *considered))
-            ordered = sorted(mixed, key=lambda worker_id: cost(worker_id)[:3])
-            return self._leg(Stage.DECODE, ordered, query.tried_decode)
         ordered = sorted(considered, key=cost)
         if not query.prefill_worker_id:
             # Whoever decides may choose another prefill worker, and wants a decode worker near it.
--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -296,35 +296,3 @@
     loads = {"d1": 60, "d2": 1}
     chosen = place(placement, request(1), in_flight=lambda one: loads.get(one, 0))
     assert chosen[Stage.DECODE] == "d2"
-
-
-def unpaired(number: int, prefix: int = 7, *, is_read: bool = False) -> DecisionRequest:
-    """Return a request whose prompt no prefill worker is to read."""
-    asked = request(number, prefix=prefix, shared=350, own=1_100)
-    return msgspec.structs.replace(asked, legs=asked.legs[1:], is_read=is_read)
-
-
-def test_a_short_prompt_goes_to_the_decode_worker_that_holds_its_prefix() -> None:
-    placement = PromptPlacement()
-    first = unpaired(1)
-    legs = (msgspec.structs.replace(first.legs[0], candidates=("d2", "d1")),)
-    first = msgspec.structs.replace(first, legs=legs)
-    assert place(placement, first) == {Stage.DECODE: "d2"}
-    read(placement, first, "d2", 0.1)
-    assert place(placement, unpaired(2), 0.2) == {Stage.DECODE: "d2"}
-    read(placement, unpaired(2), "d2", 0.3)
-    busy = {"d2": 5}
-    assert place(placement, unpaired(3), 0.4, lambda one: busy.get(one, 0)) == {Stage.DECODE: "d1"}
-    read(placement, unpaired(3), "d1", 0.5)
-    placement.set_policy(PlacementPolicy(prefix_affinity=False))
-    assert place(placement, unpaired(4), 0.6) == {Stage.DECODE: "d1"}
-
-
-def test_a_prompt_that_was_read_goes_to_the_lightest_decode_worker() -> None:
-    placement = PromptPlacement()
-    first = unpaired(1)
-    place(placement, first)
-    read(placement, first, "d1", 0.1)
-    loads = {"d1": 1}
-    asked = unpaired(2, is_read=True)
-    assert place(placement, asked, 0.2, lambda one: loads.get(one, 0)) == {Stage.DECODE: "d2"}
--- a/tests/routing/test_pairing.py
+++ b/tests/routing/test_pairing.py
@@ -207,22 +207,3 @@
     tried = tuple(f"d{number}" for number in range(40) if number % 4)
     _, decode = many_zones().model_legs(query(tried_decode=tried), {}, 0.0)
     assert not set(decode.candidates) & set(tried)
-
-
-def test_a_prompt_that_its_decode_worker_reads_goes_by_the_ring_of_its_prefix() -> None:
-    selector = many_zones()
-    firsts = set()
-    for number in range(30):
-        asked = query(request_id=f"r{number}", keeps_prefix=True)
-        (candidates,) = (selector.decode_leg(asked, "", {}, 0.0).candidates,)
-        firsts.add(candidates[: CANDIDATE_LIMIT // 2])
-        assert len(set(candidates)) == CANDIDATE_LIMIT
-    assert len(firsts) == 1
-    others = {
-        selector.decode_leg(query(key=key, keeps_prefix=True), "", {}, 0.0).candidates[0]
-        for key in range(200)
-    }
-    assert len(others) > 20
-    home = firsts.pop()[0]
-    busy = selector.decode_leg(query(keeps_prefix=True), "", {home: 90}, 0.0).candidates
-    assert busy[0] != home
