--- a/src/orchidpath/forwarding/progress.py
+++ b/src/orchidpath/forwarding/progress.py
@@ -3,8 +3,9 @@
 The rules, each asked as a plain question: a request that may have run is never sent a second time
 unless its route lets it; the workers that it reaches are bounded by its route; every order past the
 first is paid for by the service's retry budget; and nothing is sent again after the first bytes of
-an answer have reached the caller (paper, "Circuit breakers and bounded retries"). Whether an answer
-may promise "not run" follows from the same facts.
+an answer have reached the caller (paper, "Circuit breakers and bounded retries"), but for the rest
+of a stream that its route lets another worker take up. Whether an answer may promise "not run"
+follows from the same facts.
 """
 
 from enum import StrEnum
