--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
-# Puts the locked runtime requirements and the product itself into target/deps.
+# Puts the locked runtime requirements and the product itself into target/deps. Only wheels are taken, so that no
+# compiler has to be there; deploy/requirements.lock has one for each supported interpreter.
 set -eu
 mkdir -p target/deps
 if [ ! -f target/deps/.requirements ] || ! cmp -s deploy/requirements.lock target/deps/.requirements; then
     rm -rf target/deps
-    python3 -m pip install -q --no-deps --require-hashes --target target/deps -r deploy/requirements.lock
+    python3 -m pip install -q --no-deps --require-hashes --only-binary :all: \
+        --target target/deps -r deploy/requirements.lock
     cp deploy/requirements.lock target/deps/.requirements
 fi
 rm -rf target/deps/orchidpath
