--- a/tests/adapter/platform_world.py
+++ b/tests/adapter/platform_world.py
@@ -235,7 +235,7 @@
 async def hang(worker: StandInWorker, request: web.Request) -> web.StreamResponse:
     """Work without ever answering."""
     worker.runs.append(request.headers["X-Request-Id"])
-    await asyncio.sleep(WAIT_SECONDS)
+    await asyncio.sleep(2 * WAIT_SECONDS)
     return web.Response()
 
 
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -408,8 +408,14 @@
     one = stock("s1")[0]
     async with running(tmp_path, one) as world:
         await world.request_until_served("/stock/")
+        routes = json.loads(document(3))["routes"]
+        for route in routes:
+            # No time of the request's own ends the work within this test.
+            route["timeout_ms"] = 2000 * WAIT_SECONDS
+        assert (await world.put_configuration(document(3, routes=routes), 2)).status == 200
         one.answers.append(hang)
-        leaving = asyncio.create_task(world.request("/stock/"))
+        patient = {"X-Deadline-Ms": f"{2000 * WAIT_SECONDS:.0f}"}
+        leaving = asyncio.create_task(world.request("/stock/", headers=patient))
         async with asyncio.timeout(WAIT_SECONDS):
             while one.answers:
                 await asyncio.sleep(0.01)
@@ -454,13 +460,19 @@
         world.silent.add("s1")
         late = workers[0].heartbeat()
         await _depart(world, workers[0], leaves)
-        for number in range(3):
-            await world.put_instance(workers[0], late, number)
-        await asyncio.sleep(1.7)
+        for _ in range(6):
+            # The lease of every router lapses meanwhile; that of a worker which drains must not.
+            await asyncio.sleep(0.3)
+            if leaves == "draining":
+                await world.beat(workers[0], "draining")
         workers[0].arrivals.clear()
-        for number in range(12):
-            response, _ = await world.request("/stock/", number % 3)
-            assert response.status == 200
+        # A worker that came back would be known for as long as its lease lasts, and then be gone.
+        for _ in range(4):
+            for number in range(3):
+                await world.put_instance(workers[0], late, number)
+                response, _body = await world.request("/stock/", number)
+                assert response.status == 200
+            await asyncio.sleep(0.1)
         assert workers[0].arrivals == []
 
 
@@ -549,3 +561,67 @@
         assert float(response.headers["Retry-After"]) > 0
     finally:
         await world.stop()
+
+
+UNUSUAL_MODEL = {
+    "X-Model": "m",
+    "X-Token-Usage": "73000,  080",
+    "X-Prefix-Hash": "5C1E07A2:13000, e4402b7d:60000",
+}
+"""What a client says of its prompt, in forms that nobody may tidy up."""
+
+
+@pytest.mark.parametrize("headers", [MODEL, UNUSUAL_MODEL], ids=["usual", "unusual"])
+async def test_what_a_client_says_of_its_prompt_reaches_every_stage_unchanged(
+    tmp_path: Path, headers: dict[str, str]
+) -> None:
+    prefill, decode = pair()
+    async with running(tmp_path, prefill, decode) as world:
+        await world.request_until_served("/advice/x", headers=headers)
+        assert prefill.arrivals
+        for arrival in (prefill.arrivals[-1], decode.arrivals[-1]):
+            for name, value in headers.items():
+                assert arrival.headers[name] == value.strip()
+
+
+async def test_requests_open_at_the_timeout_of_their_route_get_a_final_answer(
+    tmp_path: Path,
+) -> None:
+    """Their clients would wait for longer, and their workers are silent."""
+    prefill, decode = pair()
+    one = stock("s1")[0]
+    routes = json.loads(document(3))["routes"]
+    for route in routes:
+        route["timeout_ms"] = 400
+    async with running(tmp_path, one, prefill, decode) as world:
+        await world.request_until_served("/stock/")
+        await world.request_until_served("/advice/x", headers=MODEL)
+        assert (await world.put_configuration(document(3, routes=routes), 2)).status == 200
+        one.answers.extend([hang] * 8)
+        prefill.answers.extend([hang] * 8)
+        asked = [world.request("/stock/", headers={"X-Deadline-Ms": "60000"}) for _ in range(8)]
+        patient = {**MODEL, "X-Deadline-Ms": "60000"}
+        asked += [world.request("/advice/x", headers=patient) for _ in range(8)]
+        async with asyncio.timeout(WAIT_SECONDS):
+            answers = await asyncio.gather(*asked)
+        statuses = {response.status for response, _ in answers}
+        assert statuses <= {503, 504}
+        for response, _ in answers:
+            assert (response.status == 503) is ("Retry-After" in response.headers)
+
+
+async def test_acknowledgements_to_workers_are_short_and_name_no_other_address(
+    tmp_path: Path,
+) -> None:
+    """An acknowledgement of more than 4 KiB does not count; an address named may fail later."""
+    one = stock("s1")[0]
+    async with running(tmp_path, one) as world:
+        await world.request_until_served("/stock/")
+        for number in range(3):
+            url = f"{world.control_url(number)}/instances/s1"
+            async with aiohttp.ClientSession() as session:
+                answer = await session.put(url, json=one.heartbeat())
+                content = await answer.read()
+        assert answer.status == 200
+        assert len(content) <= 4096
+        assert json.loads(content) == {}
--- /dev/null
+++ b/tests/guards/test_left_out.py
@@ -0,0 +1,35 @@
+"""The table of guards fits the sources, so that leaving one out tries what it says."""
+
+import ast
+from pathlib import Path
+
+import pytest
+from left_out_guards import ROOT, Edit, GuardTextError, LeftOutGuard, read_guards, without
+
+GUARDS = read_guards()
+
+
+def function_names(path: Path) -> set[str]:
+    tree = ast.parse(path.read_text())
+    kinds = (ast.FunctionDef, ast.AsyncFunctionDef)
+    return {node.name for node in ast.walk(tree) if isinstance(node, kinds)}
+
+
+@pytest.mark.parametrize("guard", GUARDS, ids=[guard.name for guard in GUARDS])
+def test_a_guard_stands_once_in_its_file_and_its_tests_exist(guard: LeftOutGuard) -> None:
+    assert guard.edits
+    assert guard.tests
+    for edit in guard.edits:
+        changed = without(edit)
+        ast.parse(changed)
+        assert changed != (ROOT / edit.file).read_text()
+    for test in guard.tests:
+        file, _, name = test.partition("::")
+        names = function_names(ROOT / file)
+        assert not name or name.partition("[")[0] in names
+
+
+def test_a_text_that_is_gone_is_named() -> None:
+    edit = Edit("src/orchidpath/__init__.py", "never stood here", "")
+    with pytest.raises(GuardTextError, match=r"orchidpath/__init__\.py: 0 times"):
+        without(edit)
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 
@@ -249,3 +249,50 @@
         now[0] = rests_seconds + 0.1
         assert not connection.is_usable
         pool.close_rested()
+
+
+LONG_BODY = bytes(range(256)) * 40_000
+"""Longer than what the system takes of a connection whose other end does not read."""
+LONG_HEADERS = [(b"host", b"worker"), (b"content-length", b"%d" % len(LONG_BODY))]
+
+
+class LateReader:
+    """A worker that answers as soon as it has a request's head, and reads the body later."""
+
+    def __init__(self) -> None:
+        self.may_read = asyncio.Event()
+        self.received: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OWN)
+        await writer.drain()
+        await self.may_read.wait()
+        received = bytearray()
+        with suppress(ConnectionError):
+            while data := await reader.read(1 << 20):
+                received += data
+        self.received.append(bytes(received))
+
+
+@pytest.mark.parametrize("caller_leaves", [False, True])
+async def test_nothing_else_comes_where_the_rest_of_a_body_is_due(caller_leaves: bool) -> None:
+    """The worker has answered before it has read the body, and keeps the connection."""
+    pool, late = UpstreamPool(monotonic_seconds), LateReader()
+    async with worker(late.serve) as address, asyncio.timeout(WAIT_SECONDS):
+        for _ in range(3):
+            connection = await pool.connection(address, 0)
+            connection.send(b"POST", b"/x", LONG_HEADERS, LONG_BODY)
+            await connection.read_head()
+            if caller_leaves:
+                connection.close()
+                continue
+            assert await body(connection) == b"ok"
+            pool.release(address, connection)
+        late.may_read.set()
+        while len(late.received) < 3:
+            await asyncio.sleep(0.01)
+    assert pool.connections_opened == 3
+    for received in late.received:
+        assert len(received) < len(LONG_BODY)
+        assert LONG_BODY.startswith(received)
