Revert "A control process takes part in the fleet before it loads its HTTP library"

Tried: consensus first, the HTTP library loaded in a thread meanwhile. Loading it later still would keep workers' heartbeats waiting while a new leader counts their leases.

--- a/src/orchidpath/control/access.py
+++ b/src/orchidpath/control/access.py
@@ -12,11 +12,12 @@
 
 from orchidpath.circuit.table import WorkerCircuitView
 from orchidpath.common.clock import Clock
-from orchidpath.control.api_access import ControlAccess, PlanAccess, UnavailableError
 from orchidpath.control.core import ControlCore
 from orchidpath.control.effects import OrderAnswered, PlanAnswered, ReadFailed, ReadReady
+from orchidpath.control.operator_api import ControlAccess, UnavailableError
 from orchidpath.control.operator_bodies import StatusBody, SubmitResult, SubmitStatus, Taken
 from orchidpath.control.orders import CONFIRM_WAIT_SECONDS
+from orchidpath.control.plan_api import PlanAccess
 from orchidpath.control.plan_bodies import PlanOrderResult
 from orchidpath.control.runner import CoreRunner
 from orchidpath.state.commands import SubmitConfiguration
--- a/src/orchidpath/control/labelled_orders.py
+++ b/src/orchidpath/control/labelled_orders.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from orchidpath.control.api_access import UnavailableError
+from orchidpath.control.operator_api import UnavailableError
 from orchidpath.control.operator_bodies import SubmitResult, SubmitStatus
 from orchidpath.state.commands import SubmitConfiguration, configuration_digest
 from orchidpath.state.machine import FleetState
--- a/src/orchidpath/control/operator_api.py
+++ b/src/orchidpath/control/operator_api.py
@@ -17,6 +17,7 @@
 :class:`~orchidpath.control.operator_bodies.OperatorErrorBody`.
 """
 
+import abc
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
@@ -26,7 +27,8 @@
 import structlog
 from aiohttp import web
 
-from orchidpath.control.api_access import ControlAccess, UnavailableError
+from orchidpath.circuit.table import WorkerCircuitView
+from orchidpath.common.errors import OrchidpathError
 from orchidpath.control.operator_bodies import (
     ConfigurationBody,
     HealthBody,
@@ -38,6 +40,7 @@
     OperatorErrorCode,
     RouterBody,
     RoutersBody,
+    StatusBody,
     SubmitReplyBody,
     SubmitResult,
     SubmitStatus,
@@ -49,7 +52,9 @@
     worker_body,
 )
 from orchidpath.state.commands import SubmitConfiguration, configuration_digest
+from orchidpath.state.machine import FleetState
 from orchidpath.state.validation import InvalidConfigurationError, parse_configuration
+from orchidpath.wire.backend import Announcement, AnnouncementReply
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Largest body of a request, a configuration included."""
@@ -66,6 +71,61 @@
 }
 
 
+class UnavailableError(OrchidpathError):
+    """The control tier cannot answer now.
+
+    Parameters
+    ----------
+    message
+        Why.
+    retry_after_seconds
+        When to come back.
+    """
+
+    def __init__(self, message: str, retry_after_seconds: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_seconds = retry_after_seconds
+
+
+class ControlAccess(abc.ABC):
+    """What the API needs of its control process; requests may be forwarded to the leader."""
+
+    @abc.abstractmethod
+    async def submit(self, order: SubmitConfiguration) -> SubmitResult:
+        """Propose a valid order and wait, for a bounded time, until it is confirmed.
+
+        ``taken`` is NO in the result only if the order can never take effect any more.
+        """
+
+    @abc.abstractmethod
+    async def read_state(self) -> FleetState:
+        """Return a state that holds everything confirmed before the call (linearizable).
+
+        Raises
+        ------
+        UnavailableError
+            No leader confirmed the read in time.
+        """
+
+    @abc.abstractmethod
+    async def circuits(self) -> tuple[WorkerCircuitView, ...]:
+        """Return the workers' circuits as the leader has them now.
+
+        Raises
+        ------
+        UnavailableError
+            No leader answered in time.
+        """
+
+    @abc.abstractmethod
+    def status(self) -> StatusBody:
+        """Return what this process knows of itself, without asking any other."""
+
+    @abc.abstractmethod
+    async def forward_announcement(self, announcement: Announcement) -> AnnouncementReply:
+        """Pass a worker's announcement on to the leader."""
+
+
 def create_operator_app(
     access: ControlAccess,
     registry: prometheus_client.CollectorRegistry = prometheus_client.REGISTRY,
--- a/src/orchidpath/control/plan_api.py
+++ b/src/orchidpath/control/plan_api.py
@@ -6,14 +6,14 @@
 The preview is computed from agreed state alone, so every control process answers the same one.
 """
 
+import abc
 import asyncio
 
 import msgspec
 import structlog
 from aiohttp import web
 
-from orchidpath.control.api_access import PlanAccess, UnavailableError
-from orchidpath.control.operator_api import BODY_TIMEOUT_SECONDS
+from orchidpath.control.operator_api import BODY_TIMEOUT_SECONDS, UnavailableError
 from orchidpath.control.operator_bodies import OperatorError, OperatorErrorCode, Taken
 from orchidpath.control.plan_bodies import (
     PlanBody,
@@ -33,6 +33,27 @@
 _log = structlog.get_logger(__name__)
 
 
+class PlanAccess(abc.ABC):
+    """What the API for plans needs of its control process."""
+
+    @abc.abstractmethod
+    async def order_plan(self, order_id: str, action: PlanAction, plan_id: str) -> PlanOrderResult:
+        """Take an order about a plan and wait, for a bounded time, for its outcome.
+
+        NOT_TAKEN only if the order can never take effect any more.
+        """
+
+    @abc.abstractmethod
+    async def read_state(self) -> FleetState:
+        """Return a state that holds everything confirmed before the call (linearizable).
+
+        Raises
+        ------
+        UnavailableError
+            No leader confirmed the read in time.
+        """
+
+
 def add_plan_routes(app: web.Application, access: PlanAccess) -> None:
     """Add the endpoints to the operators' application, which turns exceptions into errors."""
     api = _PlanApi(access)
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random as random_module
-from importlib import import_module
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+
+from aiohttp import web
 
 from orchidpath.common.clock import Clock, monotonic_seconds
 from orchidpath.common.daemon import Daemon
@@ -32,6 +33,8 @@
 )
 from orchidpath.control.formation import NoAnswerError, ask_who_is_control, may_form_fleet
 from orchidpath.control.member_manager import MemberPolicy
+from orchidpath.control.operator_api import create_operator_app
+from orchidpath.control.plan_api import add_plan_routes
 from orchidpath.control.runner import CoreRunner
 from orchidpath.control.worker_orders import OrderFormat, WorkerOrderSender
 from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
@@ -48,12 +51,6 @@
 from orchidpath.wire.peer_links import PeerLinks
 from orchidpath.wire.records import ControlMember
 
-if TYPE_CHECKING:
-    from orchidpath.control.http_interface import HttpInterface, RouteAdder
-
-HTTP_INTERFACE_MODULE = "orchidpath.control.http_interface"
-"""Loaded once the process takes part: it takes as long as all other modules together."""
-
 DISK_FULL_RETRY_SECONDS = 0.5
 """Time between two tries to go on after the disk was full."""
 
@@ -67,6 +64,10 @@
 """How often the set of links to other members is brought up to date."""
 
 
+RouteAdder = Callable[[web.Application, LocalControlAccess], None]
+"""Adds calls to the application that a control process serves."""
+
+
 class ReplicaStoppedError(OrchidpathError):
     """The replica's disk failed or its log was contradicted; it must not go on."""
 
@@ -93,7 +94,7 @@
         settings: ControlSettings,
         files: FileLayer | None = None,
         clock: Clock = monotonic_seconds,
-        add_routes: "RouteAdder | None" = None,
+        add_routes: RouteAdder | None = None,
         order_format: OrderFormat | None = None,
     ) -> None:
         super().__init__()
@@ -107,7 +108,6 @@
         self._random = random_module.Random()
         self._incoming: dict[str, Connection] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._http: HttpInterface | None = None
         self._was_restored = False
         self.metrics = Metrics()
         self._sync_seconds = self.metrics.latency("sync_seconds", "Time of one sync to disk")
@@ -118,12 +118,7 @@
         return 0.0
 
     async def start(self) -> None:
-        """Read the disk, take part, and then serve calls over HTTP.
-
-        Consensus comes first: a fleet that restarts whole elects its leader while the HTTP library
-        is still being loaded. Nothing is answered over HTTP before its interface listens, so the
-        order only brings forward what peers and routers see.
-        """
+        """Read the disk, listen, and take part."""
         restored = self._storage.load()
         self._was_restored = restored != RestoredState()
         identity = self._storage.identity[:IDENTITY_CHARACTERS]
@@ -156,6 +151,7 @@
         )
         self._links = PeerLinks(self._hello, self._on_message, self._random, faults=self._faults)
         await self._listener.start()
+        await self._start_http()
         self._tasks = [
             asyncio.create_task(self._run_core()),
             asyncio.create_task(self._join_forever()),
@@ -163,7 +159,6 @@
         ]
         if self._faults is not None:
             self._tasks.append(watch_fault_file(self._settings.fault_file, self._faults))
-        await self._start_http()
 
     async def stop(self, drain_seconds: float) -> None:
         """Stop at once; whatever was acknowledged is on disk."""
@@ -173,8 +168,7 @@
         await self._worker_orders.close()
         await self._links.close()
         await self._listener.close()
-        if self._http is not None:
-            await self._http.close()
+        await self._http_runner.cleanup()
         self._storage.close()
 
     async def reload(self, settings: ControlSettings) -> None:
@@ -204,9 +198,14 @@
         return ControlCore(self._member, raft, policy, formation_voters, self._random)
 
     async def _start_http(self) -> None:
-        module = await asyncio.to_thread(import_module, HTTP_INTERFACE_MODULE)
-        self._http = module.HttpInterface(self._access, self.metrics.registry, self._add_routes)
-        await self._http.start(self._settings.http_address)
+        app = create_operator_app(self._access, self.metrics.registry)
+        add_plan_routes(app, self._access)
+        if self._add_routes is not None:
+            self._add_routes(app, self._access)
+        self._http_runner = web.AppRunner(app, access_log=None)
+        await self._http_runner.setup()
+        host, port = self._settings.http_address.rsplit(":", 1)
+        await web.TCPSite(self._http_runner, host, int(port), shutdown_timeout=0.5).start()
 
     async def _run_core(self) -> None:
         while True:
--- a/src/orchidpath/control/worker_orders.py
+++ b/src/orchidpath/control/worker_orders.py
@@ -6,15 +6,12 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
+import aiohttp
 import msgspec
 
 from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
 
-if TYPE_CHECKING:
-    import aiohttp
-
 WORKER_ORDER_TIMEOUT_SECONDS = 2.0
 """Bound on a worker's answer to an order."""
 
@@ -79,9 +76,6 @@
             await self._session.close()
 
     async def _post(self, url: str, order: WorkerOrder) -> None:
-        # Loaded here, as a process that starts takes part before it loads its HTTP library.
-        import aiohttp
-
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=WORKER_ORDER_TIMEOUT_SECONDS)
             self._session = aiohttp.ClientSession(timeout=timeout)
--- a/tests/control/test_labelled_orders.py
+++ b/tests/control/test_labelled_orders.py
@@ -3,7 +3,6 @@
 import pytest
 
 from orchidpath.common.errors import OrchidpathError
-from orchidpath.control.api_access import UnavailableError
 from orchidpath.control.labelled_orders import (
     LabelledChange,
     LabelledOrder,
@@ -11,6 +10,7 @@
     ResolvedConfiguration,
     submit_labelled,
 )
+from orchidpath.control.operator_api import UnavailableError
 from orchidpath.control.operator_bodies import SubmitResult, SubmitStatus, Taken
 from orchidpath.state.commands import SubmitConfiguration, encode_command
 from orchidpath.state.machine import FleetState
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -12,8 +12,12 @@
 from orchidpath.circuit.table import WorkerCircuitView
 from orchidpath.consensus.types import Role
 from orchidpath.control import operator_api
-from orchidpath.control.api_access import ControlAccess, UnavailableError
-from orchidpath.control.operator_api import MAX_BODY_BYTES, create_operator_app
+from orchidpath.control.operator_api import (
+    MAX_BODY_BYTES,
+    ControlAccess,
+    UnavailableError,
+    create_operator_app,
+)
 from orchidpath.control.operator_bodies import StatusBody, SubmitResult, SubmitStatus, Taken
 from orchidpath.state.commands import (
     Command,
--- a/tests/control/test_plan_api.py
+++ b/tests/control/test_plan_api.py
@@ -8,8 +8,7 @@
 
 from orchidpath.circuit.table import WorkerCircuitView
 from orchidpath.consensus.types import Role
-from orchidpath.control.api_access import ControlAccess, PlanAccess, UnavailableError
-from orchidpath.control.operator_api import create_operator_app
+from orchidpath.control.operator_api import ControlAccess, UnavailableError, create_operator_app
 from orchidpath.control.operator_bodies import OperatorErrorCode, StatusBody, SubmitResult
 from orchidpath.control.operator_client import (
     OperatorClient,
@@ -17,7 +16,7 @@
     OrderOutcomeUnknownError,
     PlanRefusedError,
 )
-from orchidpath.control.plan_api import add_plan_routes
+from orchidpath.control.plan_api import PlanAccess, add_plan_routes
 from orchidpath.control.plan_bodies import PlanOrderResult
 from orchidpath.control.plan_orders import plan_command
 from orchidpath.state.commands import (
