The leader makes and encodes one view for all routers that lack the same, and near workers come first

Cause 1: after a restart of the whole fleet every router asks the leader for the whole view, which was made, encoded and compressed anew for each. Change 1: an update is kept for each adopted revision until the revision changes, and the newest large frame until the next one. Cause 2: workers of plain services, and decode workers that read a short prompt themselves, were drawn from all zones. With 200 routers and five to seven zones nearly every such request opened a connection and crossed zones with its body and stream. Change 2: routers put workers of their own zone first, unless they are busier; the leader weighs a far decode worker by 1,000 tokens (switch near_requests).

--- a/src/orchidpath/control/leader.py
+++ b/src/orchidpath/control/leader.py
@@ -60,6 +60,9 @@
 PENDING_DECISION_SECONDS = 1.0
 """A decision that waits for a transition this long is dropped; the router has gone on by then."""
 
+MAX_KEPT_UPDATES = 16
+"""Updates that are kept, each for the routers that have adopted one revision."""
+
 
 class _PendingDecision(msgspec.Struct, frozen=True):
     router_id: str
@@ -119,6 +122,7 @@
         self.plan_driver = PlanDriver(term, state, self._in_flight)
         self.stage_balancer = StageBalancer(term, state, self._in_flight, now)
         self._adopted: dict[str, int] = {}
+        self._updates: dict[int, FleetUpdate] = {}
         self._pushed: dict[str, int] = {}
         self._pending_decisions: list[_PendingDecision] = []
         self._circuits_sequence = 0
@@ -188,7 +192,7 @@
 
     def receive_update_request(self, router_id: str, request: FleetUpdateRequest) -> None:
         """Send a router all that lies above the revision it names."""
-        update = self._state.update_since(request.adopted_revision)
+        update = self._update_since(request.adopted_revision)
         self.outbox.append(SendToNode(router_id, update))
 
     def receive_announcements(self, announcements: Iterable[Announcement], now: float) -> None:
@@ -211,7 +215,9 @@
     ) -> None:
         """Decide one attempt, after a committed transition if it would be a probe."""
         self._refresh_workers()
-        request = self.prompts.order(request, self.circuits.in_flight, now)
+        router = self._state.find_router(router_id)
+        router_zone = router.zone if router is not None else ""
+        request = self.prompts.order(request, self.circuits.in_flight, now, router_zone)
         postponed_seconds = self.prompts.postponed_seconds(request, now)
         if postponed_seconds > 0:
             postponed = DecisionReply(
@@ -282,15 +288,25 @@
             return
         self._pushed_revision = revision
         self._next_push = now + PUSH_PERIOD_SECONDS
-        updates: dict[int, FleetUpdate] = {}
         for router_id, adopted in self._adopted.items():
             known = max(adopted, self._pushed.get(router_id, 0))
             if known >= revision:
                 continue
             self._pushed[router_id] = revision
-            if known not in updates:
-                updates[known] = self._state.update_since(known)
-            self.outbox.append(SendToNode(router_id, updates[known]))
+            self.outbox.append(SendToNode(router_id, self._update_since(known)))
+
+    def _update_since(self, adopted_revision: int) -> FleetUpdate:
+        """Return one and the same update for every router that has adopted the same revision.
+
+        When a whole fleet restarts, all routers ask at once for the whole view.
+        """
+        update = self._updates.get(adopted_revision)
+        if update is None or update.revision != self._state.revision:
+            update = self._state.update_since(adopted_revision)
+            if len(self._updates) >= MAX_KEPT_UPDATES:
+                self._updates.clear()
+            self._updates[adopted_revision] = update
+        return update
 
     def _refresh_workers(self) -> None:
         """Bring the circuits up to date once for all revisions since they were last looked at."""
--- a/src/orchidpath/placement/prompts.py
+++ b/src/orchidpath/placement/prompts.py
@@ -64,6 +64,12 @@
 Moves between zones take longer and cost money. In the same unit.
 """
 
+FAR_REQUEST_TOKENS = 1_000
+"""Cost of a prompt that a decode worker in another zone than the router's reads, in tokens.
+
+The request and its stream cross zones, over a connection that is seldom open already.
+"""
+
 STREAM_TOKENS = 500
 """Cost of reading beside one running stream, in tokens."""
 
@@ -141,7 +147,11 @@
         return self._queues.waiting_tokens(worker_id)
 
     def order(
-        self, request: DecisionRequest, in_flight: Callable[[str], int], now: float
+        self,
+        request: DecisionRequest,
+        in_flight: Callable[[str], int],
+        now: float,
+        router_zone: str = "",
     ) -> DecisionRequest:
         """Return the request with its candidates in the order of their cost.
 
@@ -156,6 +166,8 @@
             Returns the attempts in flight on a worker.
         now
             Monotonic seconds.
+        router_zone
+            Zone of the router that asks; empty when it is not known.
         """
         prompt = request.prompt
         legs = {leg.stage: leg for leg in request.legs}
@@ -169,8 +181,13 @@
             waiting = WAITING_TOKEN_WEIGHT * self.waiting_tokens(worker_id)
             return waiting + STREAM_TOKENS * in_flight(worker_id)
 
+        def request_cost(worker_id: str) -> float:
+            is_far = bool(router_zone) and self._zones.get(worker_id, "") != router_zone
+            prefers_near = self._policy.near_requests and not request.is_read
+            return load_cost(worker_id) + (FAR_REQUEST_TOKENS if is_far and prefers_near else 0.0)
+
         if prefill is None:
-            ordered = self._sorted(decode, load_cost)
+            ordered = self._sorted(decode, request_cost)
             return msgspec.structs.replace(request, legs=(ordered,))
 
         def direct_cost(worker_id: str) -> float:
--- a/src/orchidpath/router/forward_edge.py
+++ b/src/orchidpath/router/forward_edge.py
@@ -79,7 +79,7 @@
         self._split = WeightedSplit(random)
         self._dialect = dialect
         self._logger: Logger = get_logger("forward_edge")
-        self._state = RoutingState(fleet, random)
+        self._state = RoutingState(fleet, random, settings.zone)
         self._drain = DrainState()
         self._tasks = BackgroundTasks()
         self._metrics = ForwardMetrics()
--- a/src/orchidpath/router/routing_state.py
+++ b/src/orchidpath/router/routing_state.py
@@ -36,9 +36,11 @@
         Gives the adopted view and the lease.
     random
         Source of randomness.
+    zone
+        Zone of the router; empty when it is not known.
     """
 
-    def __init__(self, fleet: FleetAccess, random: Random) -> None:
+    def __init__(self, fleet: FleetAccess, random: Random, zone: str = "") -> None:
         empty = Configuration()
         self._fleet = fleet
         self._revision: int | None = None
@@ -53,7 +55,7 @@
         self._services: dict[str, Service] = {}
         self.admission = AdmissionController(empty.admission)
         self.handover = HandoverLedger()
-        self.selector = PairSelector(self.handover.avoidance)
+        self.selector = PairSelector(self.handover.avoidance, zone=zone)
         self.fallback = FallbackCircuits(empty.circuit, random)
         self.throttle = ThrottleDetector(empty.circuit, random)
 
--- a/src/orchidpath/routing/pairing.py
+++ b/src/orchidpath/routing/pairing.py
@@ -29,6 +29,12 @@
 CONSIDERED_WORKERS = 4 * CANDIDATE_LIMIT
 """Workers looked at for one leg; bounds the work of a decision in a large fleet."""
 
+DRAWN_WORKERS = 2
+"""Workers of a plain service that are compared by their load, of each of near and anywhere."""
+
+FAR_LOAD_MARGIN = 2.0
+"""Requests in flight by which a plain worker of another zone must be lighter to go first."""
+
 MINIMUM_LOAD_BOUND = 2
 """A worker with fewer requests in flight is never over the load bound, however idle the rest."""
 
@@ -122,11 +128,16 @@
         Pairs with a failed link; put last.
     candidate_limit : int
         Candidates of one leg.
+    zone : str
+        Zone of the router; empty when it is not known.
     """
 
-    def __init__(self, avoidance: PairAvoidance, candidate_limit: int = CANDIDATE_LIMIT):
+    def __init__(
+        self, avoidance: PairAvoidance, candidate_limit: int = CANDIDATE_LIMIT, zone: str = ""
+    ):
         self._avoidance = avoidance
         self._candidate_limit = candidate_limit
+        self._own_zone = zone
         self._rings = RingCache()
         self._pools: dict[tuple[str, Stage, str], _Pool] = {}
         self._workers: dict[tuple[str, Stage], list[WorkerRecord]] = {}
@@ -211,8 +222,9 @@
         """Order decode workers by the cost of the link from a prefill worker, then by load.
 
         Avoided pairs come last, then workers over the load bound, then those in another zone than
-        the prefill worker; the load decides next and the ring makes the order stable. The load
-        bound goes before the zone: otherwise a zone with one decode worker would drown it.
+        the prefill worker, or than this router when no other worker reads the prompt; the load
+        decides next and the ring makes the order stable. The load bound goes before the zone:
+        otherwise a zone with one decode worker would drown it.
 
         Parameters
         ----------
@@ -232,7 +244,7 @@
         """
         pool = self._pool(query.service, Stage.DECODE, query.model)
         bound = self._load_bound(pool, in_flight)
-        zone = self._zones.get(prefill_worker_id, "")
+        zone = self._zones.get(prefill_worker_id, self._own_zone)
         considered = self._considered_for_decode(pool, zone, request_key(query.request_id))
 
         def cost(worker_id: str) -> tuple[bool, bool, bool, bool, int]:
@@ -263,7 +275,11 @@
         return [*ordered[:kept], *(one for one in by_turns if one is not None), *nearest]
 
     def plain_leg(self, query: PlainQuery, in_flight: Mapping[str, int]) -> Leg:
-        """Order the workers of a plain service: the less loaded of two random ones first.
+        """Order the workers of a plain service: the least loaded of a few first, near ones before.
+
+        Two are drawn anywhere and two in the router's own zone. One of another zone goes first only
+        when it is lighter by ``FAR_LOAD_MARGIN``: a near one is reached sooner, over a connection
+        that is more often open already, and its bytes cross no zone.
 
         Parameters
         ----------
@@ -275,14 +291,23 @@
         Returns
         -------
         Leg
-            Ring order by request id, with the lighter of the first two untried ones first.
+            The chosen few by their load, then ring order by request id; tried ones come last.
         """
         pool = self._pool(query.service, Stage.PLAIN, "")
-        considered = pool.ring.preference(request_key(query.request_id), CONSIDERED_WORKERS)
-        ordered = sorted(considered, key=lambda worker_id: worker_id in query.tried)
-        untried = sum(worker_id not in query.tried for worker_id in ordered)
-        if untried >= 2 and in_flight.get(ordered[1], 0) < in_flight.get(ordered[0], 0):
-            ordered[0], ordered[1] = ordered[1], ordered[0]
+        key = request_key(query.request_id)
+        anywhere = pool.ring.preference(key, CONSIDERED_WORKERS)
+        untried = [worker_id for worker_id in anywhere if worker_id not in query.tried]
+        near_ring = pool.zone_rings.get(self._own_zone)
+        near = near_ring.preference(key, CONSIDERED_WORKERS) if near_ring is not None else ()
+        near_untried = [worker_id for worker_id in near if worker_id not in query.tried]
+        drawn = dict.fromkeys((*near_untried[:DRAWN_WORKERS], *untried[:DRAWN_WORKERS]))
+
+        def cost(worker_id: str) -> float:
+            is_far = bool(near_untried) and self._zones.get(worker_id, "") != self._own_zone
+            return in_flight.get(worker_id, 0) + (FAR_LOAD_MARGIN if is_far else 0.0)
+
+        first = sorted(drawn, key=cost)
+        ordered = dict.fromkeys((*first, *untried, *anywhere))
         return self._leg(Stage.PLAIN, ordered, query.tried)
 
     def eligible(self, service: str, stage: Stage, model: str = "") -> tuple[str, ...]:
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -316,12 +316,16 @@
         A decode worker reads a prompt itself when it would have done so sooner than a pair.
     near_pairs
         A KV cache is handed over inside a zone where that is not much busier.
+    near_requests
+        A prompt that a decode worker reads itself goes to one in the router's zone where that is
+        not much busier.
     """
 
     prefix_affinity: bool = True
     postponement: bool = True
     direct_reads: bool = True
     near_pairs: bool = True
+    near_requests: bool = True
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/orchidpath/wire/framing.py
+++ b/src/orchidpath/wire/framing.py
@@ -17,10 +17,27 @@
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 """Largest payload of one frame; more is refused on both ends."""
 
+LARGE_FRAME_BYTES = 2048
+"""A frame of this size is kept until the next one, in case the same message is sent again."""
+
 _HEADER = struct.Struct(">II")
 _COMPACT_THRESHOLD_BYTES = 64 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
+
+
+class _LastLargeFrame:
+    """The newest large frame: a leader sends one view to hundreds of routers in turn.
+
+    Messages never change, so the same object always gives the same frame.
+    """
+
+    def __init__(self) -> None:
+        self.message: Message | None = None
+        self.frame = b""
+
+
+_last_large = _LastLargeFrame()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
@@ -48,10 +65,15 @@
     FrameTooLargeError
         The encoded message is longer than :data:`MAX_FRAME_BYTES`.
     """
+    if message is _last_large.message:
+        return _last_large.frame
     payload = compressed(_encoder.encode(message))
     if len(payload) > MAX_FRAME_BYTES:
         raise FrameTooLargeError(f"a message of {len(payload)} bytes is over {MAX_FRAME_BYTES}")
-    return _HEADER.pack(len(payload), crc32c(payload)) + payload
+    frame = _HEADER.pack(len(payload), crc32c(payload)) + payload
+    if len(frame) >= LARGE_FRAME_BYTES:
+        _last_large.message, _last_large.frame = message, frame
+    return frame
 
 
 class FrameDecoder:
--- a/tests/wire/test_wire_framing.py
+++ b/tests/wire/test_wire_framing.py
@@ -1,4 +1,5 @@
 import struct
+from random import Random
 
 import msgspec
 import pytest
@@ -125,3 +126,11 @@
 def test_unknown_tag_is_reported_as_such() -> None:
     with pytest.raises(UnknownMessageError):
         FrameDecoder().feed(frame(msgspec.msgpack.encode({"type": "message_of_tomorrow"})))
+
+
+def test_a_large_message_sent_again_gives_the_same_frame_and_another_one_its_own() -> None:
+    """One view goes to hundreds of routers; an equal message that is another object is encoded."""
+    first, second = (ConsensusMessage(payload=Random(one).randbytes(5000)) for one in (1, 2))
+    assert encode_frame(first) is encode_frame(first)
+    for message in (first, second, first, second):
+        assert FrameDecoder().feed(encode_frame(message)) == [message]
