--- a/tests/placement/test_prompt_placement.py
+++ b/tests/placement/test_prompt_placement.py
@@ -296,3 +296,26 @@
     loads = {"d1": 60, "d2": 1}
     chosen = place(placement, request(1), in_flight=lambda one: loads.get(one, 0))
     assert chosen[Stage.DECODE] == "d2"
+
+
+def short_request(is_read: bool = False) -> DecisionRequest:
+    leg = Leg(stage=Stage.DECODE, candidates=("far", "near"))
+    return msgspec.structs.replace(request(1, shared=0, own=900), legs=(leg,), is_read=is_read)
+
+
+def test_a_short_prompt_goes_to_the_routers_zone_unless_it_is_busier_there() -> None:
+    placement = PromptPlacement()
+    placement.set_zones({"far": "z1", "near": "z2"})
+
+    def first(asked: DecisionRequest, near_load: int = 0, zone: str = "z2") -> str:
+        loads = {"near": near_load}
+        ordered = placement.order(asked, lambda one: loads.get(one, 0), 0.0, zone)
+        return ordered.legs[0].candidates[0]
+
+    assert first(short_request()) == "near"
+    assert first(short_request(), near_load=1) == "near"
+    assert first(short_request(), near_load=3) == "far"
+    assert first(short_request(), zone="") == "far"
+    assert first(short_request(is_read=True)) == "far"
+    placement.set_policy(PlacementPolicy(near_requests=False))
+    assert first(short_request()) == "far"
--- a/tests/routing/test_pairing.py
+++ b/tests/routing/test_pairing.py
@@ -47,9 +47,9 @@
 
 
 def selector_of(
-    workers: Sequence[WorkerRecord], avoidance: PairAvoidance | None = None
+    workers: Sequence[WorkerRecord], avoidance: PairAvoidance | None = None, zone: str = ""
 ) -> PairSelector:
-    selector = PairSelector(avoidance or PairAvoidance())
+    selector = PairSelector(avoidance or PairAvoidance(), zone=zone)
     view = FleetView(
         revision=1,
         configuration_version=1,
@@ -148,6 +148,45 @@
     assert selector.plain_leg(PlainQuery(service="none", request_id="r"), {}).candidates == ()
 
 
+def zoned(name: str, count: int, zones: int, service: str = "wine") -> list[WorkerRecord]:
+    return [worker(f"{name}{one}", zone=f"z{one % zones}", service=service) for one in range(count)]
+
+
+def test_a_plain_worker_of_the_own_zone_goes_first_unless_it_is_much_busier() -> None:
+    workers = zoned("s", 7, 7, service="stock")
+    selector = selector_of(workers, zone="z3")
+    for number in range(50):
+        plain = PlainQuery(service="stock", request_id=f"r{number}")
+        assert selector.plain_leg(plain, {}).candidates[0] == "s3"
+        assert selector.plain_leg(plain, {"s3": 1}).candidates[0] == "s3"
+        busy = selector.plain_leg(plain, {"s3": 3}).candidates
+        assert busy[0] != "s3"
+        assert "s3" in busy
+        again = PlainQuery(service="stock", request_id=f"r{number}", tried=("s3",))
+        assert selector.plain_leg(again, {}).candidates[0] != "s3"
+
+
+def test_a_zone_without_a_plain_worker_draws_from_all() -> None:
+    selector = selector_of(zoned("s", 4, 2, service="stock"), zone="z9")
+    firsts = {
+        selector.plain_leg(PlainQuery(service="stock", request_id=f"r{n}"), {}).candidates[0]
+        for n in range(100)
+    }
+    assert firsts == {"s0", "s1", "s2", "s3"}
+
+
+def test_a_prompt_that_its_decode_worker_reads_goes_to_the_own_zone_first() -> None:
+    selector = selector_of(zoned("d", 26, 5), zone="z2")
+    for number in range(50):
+        asked = query(request_id=f"r{number}")
+        leg = selector.decode_leg(asked, "", {}, 0.0)
+        zones = [int(one[1:]) % 5 for one in leg.candidates]
+        assert zones[0] == 2
+        assert len(set(zones)) > 1
+        elsewhere = selector.decode_leg(asked, "p-unknown", {}, 0.0)
+        assert len(set(elsewhere.candidates)) == CANDIDATE_LIMIT
+
+
 @settings(derandomize=True, deadline=None)
 @given(st.integers(0, 60), st.integers(0, 60), st.integers(0, 2**64 - 1), st.text(max_size=5))
 def test_legs_are_bounded_distinct_and_the_same_on_every_router(
