Simulation: a voter is behind in each power cut that empties disks; two of five disks lost

disk_lost_in_power_cut was too mild: all voters held everything when power went, so no guard left out showed. Now another voter is cut off before. two_disks_lost_in_power_cut: five voters, one cut off and behind, one being replaced after its disk was lost, a third one's disk lost with the power of all.

--- a/src/orchidpath/simulation/control_node.py
+++ b/src/orchidpath/simulation/control_node.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from orchidpath.consensus.core import RaftCore
 from orchidpath.consensus.effects import PersistEntries, PersistHardState, PersistSnapshot
 from orchidpath.consensus.errors import StorageError
@@ -56,6 +58,8 @@
         Addresses that it asks who the control members are.
     raft_guards, confirmation_guards
         Guards to leave out.
+    voters
+        How many voters its fleet wants.
     """
 
     def __init__(
@@ -65,8 +69,10 @@
         seeds: list[str],
         raft_guards: frozenset[Guard],
         confirmation_guards: frozenset[ConfirmationGuard],
+        voters: int = POLICY.target_voters,
     ) -> None:
         super().__init__(world, address)
+        self._policy = msgspec.structs.replace(POLICY, target_voters=voters)
         self.files = SimulatedFiles()
         self.core: ControlCore | None = None
         self.sync_seconds = 0.0
@@ -117,7 +123,7 @@
         )
         member = ControlMember(node_id=self._id, address=self.address, http_address=self.address)
         self.core = ControlCore(
-            member, raft, POLICY, 1, self.world.random, self._confirmation_guards
+            member, raft, self._policy, 1, self.world.random, self._confirmation_guards
         )
         self._busy = False
         self._tick_at = float("inf")
--- a/src/orchidpath/simulation/fleet_simulation.py
+++ b/src/orchidpath/simulation/fleet_simulation.py
@@ -25,21 +25,20 @@
 """Service must be back within this long after the last fault ended (brief)."""
 
 
-VOTERS = 3
-"""Voters of every simulated fleet."""
-
-
 class FleetShape(msgspec.Struct, frozen=True, kw_only=True):
-    """How many of each the fleet has."""
+    """How many of each the fleet has; ``voters`` of the control processes vote."""
 
     controls: int
     routers: int
     zones: int
     workers: int
+    voters: int = 3
 
 
 VINBRUG = FleetShape(controls=4, routers=10, zones=4, workers=9)
 AGENCY = FleetShape(controls=3, routers=11, zones=3, workers=12)
+FIVE_VOTERS = FleetShape(controls=7, routers=10, zones=5, workers=9, voters=5)
+"""Two disks may be lost at once."""
 
 
 class DisabledGuards(msgspec.Struct, frozen=True):
@@ -66,6 +65,7 @@
     """
 
     def __init__(self, seed: int, shape: FleetShape, disabled: DisabledGuards) -> None:
+        self.shape = shape
         self.world = World(seed)
         self.history = FleetHistory()
         self.prepare(disabled)
@@ -74,7 +74,12 @@
         seeds = [control_names[0], router_names[0], router_names[-1]]
         self.controls = [
             ControlNode(
-                self.world, name, [*seeds, *control_names], disabled.raft, disabled.confirmation
+                self.world,
+                name,
+                [*seeds, *control_names],
+                disabled.raft,
+                disabled.confirmation,
+                shape.voters,
             )
             for name in control_names
         ]
@@ -107,7 +112,7 @@
 
     def start(self) -> None:
         """Start everything and let the fleet form."""
-        voters = [control.load_identity() for control in self.controls[:3]]
+        voters = [control.load_identity() for control in self.controls[: self.shape.voters]]
         addresses = {node_id: node_id.partition(".")[0] for node_id in voters}
         membership = Membership(tuple(voters), (), addresses)
         for control in self.controls:
@@ -172,7 +177,7 @@
         state = leader.core.state
         membership = leader.core.raft.membership
         wanted = {control.node_id for control in self.controls}
-        if len(membership.voters) != VOTERS or not set(membership.voters) <= wanted:
+        if len(membership.voters) != self.shape.voters or not set(membership.voters) <= wanted:
             raise InvariantError(f"the voters are not whole again: {membership.voters}")
         order_by_version = {entry.version: entry.order_id for entry in state.history()}
         self.history.check_final(state.configuration_version, order_by_version)
--- a/src/orchidpath/simulation/scenarios.py
+++ b/src/orchidpath/simulation/scenarios.py
@@ -11,6 +11,7 @@
 from orchidpath.simulation.fleet_checks import InvariantError
 from orchidpath.simulation.fleet_simulation import (
     AGENCY,
+    FIVE_VOTERS,
     RECOVERY_SECONDS,
     VINBRUG,
     DisabledGuards,
@@ -27,6 +28,9 @@
 WORKER_CHANGE_PERIOD_SECONDS = 2.0
 LONG_FREEZE_SECONDS = 21.0
 POWER_CUTS_AT_SECONDS = (4.0, 14.0, 25.0, 36.0)
+LONGEST_BEHIND_SECONDS = 2.0
+LONGEST_REPLACEMENT_SECONDS = 4.5
+"""A voter whose disk was lost is replaced within about this time."""
 
 
 class Scenario(StrEnum):
@@ -41,6 +45,7 @@
     DISK_LOSS = "disk_loss"
     SECOND_LOSS = "second_loss"
     DISK_LOST_IN_POWER_CUT = "disk_lost_in_power_cut"
+    TWO_DISKS_LOST_IN_POWER_CUT = "two_disks_lost_in_power_cut"
     CONTROL_HALVED = "control_halved"
     SLOW_DISKS = "slow_disks"
     RESTARTS = "restarts"
@@ -71,6 +76,8 @@
 }
 """Scenarios with callers, and how many requests come to the whole fleet."""
 
+POWER_CUT_SCENARIOS = {Scenario.DISK_LOST_IN_POWER_CUT, Scenario.TWO_DISKS_LOST_IN_POWER_CUT}
+
 WITNESSES_CUT_OFF = {Scenario.CONTROL_LOST_UNDER_LOAD, Scenario.MIXED_WITH_REQUESTS}
 """In these a leader may apply what no witness ever learns of, being cut off or killed."""
 
@@ -122,6 +129,7 @@
             Scenario.DISK_LOSS: [self._lose_disk],
             Scenario.SECOND_LOSS: [],
             Scenario.DISK_LOST_IN_POWER_CUT: [],
+            Scenario.TWO_DISKS_LOST_IN_POWER_CUT: [],
             Scenario.CONTROL_HALVED: [self._halve_control],
             Scenario.SLOW_DISKS: [self._slow_disk, self._full_disk],
             Scenario.RESTARTS: [],
@@ -165,6 +173,9 @@
             Scenario.DISK_LOST_IN_POWER_CUT: [
                 (seconds, self._lose_disk_in_power_cut) for seconds in POWER_CUTS_AT_SECONDS
             ],
+            Scenario.TWO_DISKS_LOST_IN_POWER_CUT: [
+                (seconds, self._lose_two_disks_in_power_cut) for seconds in POWER_CUTS_AT_SECONDS
+            ],
         }
         for seconds, strike in moments.get(scenario, []):
             self._world.schedule(seconds, strike)
@@ -272,7 +283,7 @@
         control.start()
 
     def _lose_disk(self) -> None:
-        """Empty one disk, if the fleet is whole: three voters that hold everything, all running."""
+        """Empty one disk, if the fleet is whole: all voters hold everything and run."""
         leader = self._fleet.leader()
         if leader is None or not self._is_whole(leader):
             return
@@ -281,14 +292,14 @@
         self._world.schedule(self._random.uniform(0.01, 3.0), control.start)
 
     def _is_whole(self, leader: ControlNode) -> bool:
-        """Whether every voter runs on its own disk and holds all that is committed."""
+        """Whether all voters are there, run on their own disks and hold all that is committed."""
         core = leader.core
         if core is None or not core.raft.membership_committed:
             return False
         voters = core.raft.membership.voters
         running = {control.node_id for control in self._fleet.controls if control.alive}
         complete = all(core.raft.match_index(one) >= core.raft.commit_index for one in voters)
-        return len(voters) == 3 and set(voters) <= running and complete
+        return len(voters) == self._fleet.shape.voters and set(voters) <= running and complete
 
     def _lose_and_repair(self) -> None:
         """Empty the leader's disk right away, and another as soon as the repair is done."""
@@ -313,20 +324,65 @@
         self._world.schedule(1.0, second.start)
 
     def _lose_disk_in_power_cut(self) -> None:
-        """Empty one disk while every process loses power, voters and all others alike.
+        """Empty one disk while every process loses power, with another voter behind.
 
         What was confirmed is then held by those voters only that had synced it and still have their
-        disks. The check is that it was not confirmed on one of them alone.
+        disks: of three voters, by a single one if the third was cut off at that moment.
         """
         leader = self._fleet.leader()
         if leader is None or not self._is_whole(leader):
             self._world.schedule(0.05, self._lose_disk_in_power_cut)
             return
-        lost = self._pick_control()
+        behind = self._random.choice(self._voting(but=leader))
+        self._cut_off_from_control(behind)
+        self._world.schedule(
+            self._random.uniform(0.0, LONGEST_BEHIND_SECONDS),
+            lambda: self._cut_power([self._random.choice(self._voting(but=behind))]),
+        )
+
+    def _lose_two_disks_in_power_cut(self) -> None:
+        """Empty two of five disks, the second while every process loses power.
+
+        The first one's voter is being replaced at that moment, and a third voter is behind, being
+        cut off: of five voters two are left that hold what was confirmed.
+        """
+        leader = self._fleet.leader()
+        if leader is None or not self._is_whole(leader):
+            self._world.schedule(0.05, self._lose_two_disks_in_power_cut)
+            return
+        behind = self._random.choice(self._voting(but=leader))
+        self._cut_off_from_control(behind)
+        first = self._random.choice(self._voting(but=behind))
+        second = self._random.choice([one for one in self._voting(but=behind) if one is not first])
+        first.lose_disk()
+        self._world.schedule(self._random.uniform(0.1, 1.0), first.start)
+        self._world.schedule(
+            self._random.uniform(0.0, LONGEST_REPLACEMENT_SECONDS),
+            lambda: self._cut_power([second]),
+        )
+
+    def _voting(self, but: ControlNode) -> list[ControlNode]:
+        """Return the control processes that vote, without one of them."""
+        leader = self._fleet.leader()
+        core = leader.core if leader is not None else None
+        voters = core.raft.membership.voters if core is not None else ()
+        voting = [one for one in self._fleet.controls if one.node_id in voters and one is not but]
+        return voting or [one for one in self._fleet.controls if one is not but]
+
+    def _cut_off_from_control(self, control: ControlNode) -> None:
+        """Cut one control process off from the others; it falls behind."""
+        for other in self._fleet.controls:
+            if other is not control:
+                self._world.cut(control.address, other.address)
+
+    def _cut_power(self, lost: list[ControlNode]) -> None:
+        """Have every process lose power, and some their disks; links heal with the power."""
         for process in [*self._fleet.controls, *self._fleet.routers]:
             process.kill()
             self._world.schedule(self._random.uniform(0.3, 1.5), process.start)
-        lost.lose_disk()
+        for control in lost:
+            control.lose_disk()
+        self._heal_links()
         self.power_cuts += 1
 
     def _halve_control(self) -> None:
@@ -357,6 +413,8 @@
 ) -> ScenarioResult:
     """Run one seed of one scenario and return what came of it."""
     shape = VINBRUG if seed % 2 == 0 else AGENCY
+    if scenario is Scenario.TWO_DISKS_LOST_IN_POWER_CUT:
+        shape = FIVE_VOTERS
     guards = disabled or DisabledGuards()
     has_requests = scenario in REQUESTS_PER_SECOND
     fleet = (RequestFleet if has_requests else FleetSimulation)(seed, shape, guards)
@@ -399,7 +457,7 @@
     fleet.check_recovered()
     if scenario is Scenario.SECOND_LOSS and driver.second_losses == 0:
         raise InvariantError("the repair after the first loss never ended")
-    if scenario is Scenario.DISK_LOST_IN_POWER_CUT and driver.power_cuts == 0:
+    if scenario in POWER_CUT_SCENARIOS and driver.power_cuts == 0:
         raise InvariantError("no power cut struck a whole fleet")
 
 
