--- a/src/orchidpath/simulation/scenarios.py
+++ b/src/orchidpath/simulation/scenarios.py
@@ -28,6 +28,10 @@
 WORKER_CHANGE_PERIOD_SECONDS = 2.0
 LONG_FREEZE_SECONDS = 21.0
 POWER_CUTS_AT_SECONDS = (4.0, 14.0, 25.0, 36.0)
+HEALING_SHARE = 0.5
+"""Share of the halvings of control that heal before the next one."""
+FREEZE_SHARE = 0.25
+"""Share of the halvings of control at which the leader freezes."""
 LONGEST_BEHIND_SECONDS = 2.0
 LONGEST_REPLACEMENT_SECONDS = 4.5
 """A voter whose disk was lost is replaced within about this time."""
@@ -386,14 +390,24 @@
         self.power_cuts += 1
 
     def _halve_control(self) -> None:
-        """Cut the control processes into two halves that everybody else still reaches."""
+        """Cut the control processes into two halves that everybody else still reaches.
+
+        The halves change from one moment to the next: whoever was alone wants an election, and is
+        joined by a process that has just heard the leader, which is alone now and still has its
+        lease. The leader may also freeze, and wake in the smaller half.
+        """
+        self._heal_links()
+        leader = self._fleet.leader()
+        if leader is not None and self._random.random() < FREEZE_SHARE:
+            leader.freeze(self._random.uniform(0.1, 3.0))
         names = [control.address for control in self._fleet.controls]
         self._random.shuffle(names)
         half = len(names) // 2
         for one in names[:half]:
             for other in names[half:]:
                 self._world.cut(one, other)
-        self._world.schedule(self._random.uniform(0.5, 6.0), self._heal_links)
+        if self._random.random() < HEALING_SHARE:
+            self._world.schedule(self._random.uniform(0.1, 1.4), self._heal_links)
 
     def _restart_in_turn(self) -> None:
         everything = [*self._fleet.controls, *self._fleet.routers]
