--- a/src/orchidpath/router/forward_edge.py
+++ b/src/orchidpath/router/forward_edge.py
@@ -41,13 +41,30 @@
 NOT_FRESH_RETURN_TIME = ReturnTime(shortest_seconds=1.0, longest_seconds=1.6)
 """When to come back to a router that has lost its lease."""
 
-FIRST_LEASE_SECONDS = 1.0
-"""A router that has just started has a lease by then, even when the whole fleet has."""
+FIRST_LEASE_SECONDS = 2.0
+"""A router that has just started has a lease by then, even when the whole fleet has.
+
+Control processes take longer to start than routers. Seen on the bench, on slow cores: 2.0 s from a
+router's start to its first view. A caller that is told less is refused twice, and gives up.
+"""
 
 FIRST_RETURN_TIME = ReturnTime(shortest_seconds=0.2, longest_seconds=0.6)
 """When to come back to a router that has just started, at the earliest."""
 
 
+def first_return_seconds(share: float, since_start_seconds: float) -> float:
+    """Return when to come back to a router that has not had a lease since its start.
+
+    Parameters
+    ----------
+    share
+        Drawn evenly between 0 and 1.
+    since_start_seconds
+        Time since the router started.
+    """
+    return FIRST_RETURN_TIME.seconds(share, FIRST_LEASE_SECONDS - since_start_seconds)
+
+
 class ForwardEdge:
     """Serves forward routes at one address, and health and metrics at another.
 
@@ -200,8 +217,7 @@
         if self._has_served:
             seconds = NOT_FRESH_RETURN_TIME.seconds(share)
         else:
-            lease_at = self._started_at + FIRST_LEASE_SECONDS
-            seconds = FIRST_RETURN_TIME.seconds(share, lease_at - self._clock())
+            seconds = first_return_seconds(share, self._clock() - self._started_at)
         headers = [(b"retry-after", b"%.2f" % seconds)]
         caller.send_answer(503, headers, b"this router holds no lease to serve")
 
