--- a/tests/control/test_stage_balancer.py
+++ b/tests/control/test_stage_balancer.py
@@ -1,6 +1,7 @@
 """The leader's moves of workers between stages: hold, order, release; one holder at a time."""
 
 import msgspec
+from stage_builders import split_configuration
 
 from orchidpath.control.stage_balancer import (
     CALM_SECONDS,
@@ -14,12 +15,10 @@
     HoldWorker,
     SubmitConfiguration,
     WorkerChanged,
-    configuration_digest,
     encode_command,
 )
 from orchidpath.state.machine import FleetState
 from orchidpath.wire.backend import WorkerOrder, WorkerOrderReply
-from orchidpath.wire.configuration import Configuration, Service, ServiceKind
 from orchidpath.wire.records import Stage, WorkerRecord
 
 STEP_SECONDS = 0.25
@@ -33,22 +32,7 @@
         self.now = 0.0
         self.confirms = True
         self.orders: list[WorkerOrder] = []
-        service = Service(
-            name="s",
-            kind=ServiceKind.MODEL,
-            models=["m"],
-            balanced_decode_share=0.2,
-            least_decode_workers=2,
-        )
-        configuration = Configuration(services=[service])
-        self.apply(
-            SubmitConfiguration(
-                order_id="o",
-                base_version=0,
-                configuration=configuration,
-                digest=configuration_digest(0, configuration),
-            )
-        )
+        self.apply(split_configuration())
         stages = [Stage.PREFILL] * prefill + [Stage.DECODE] * decode
         for number, stage in enumerate(stages):
             self.announce(f"w{number}", stage, 1)
--- a/tests/adapter/test_stage_orders.py
+++ b/tests/control/test_stage_orders.py
@@ -5,6 +5,7 @@
 
 import pytest
 from aiohttp import web
+from stage_builders import split_configuration
 
 from orchidpath.control.stage_balancer import (
     CALM_SECONDS,
@@ -18,12 +19,10 @@
     SubmitConfiguration,
     WorkerChanged,
     WorkerGone,
-    configuration_digest,
     encode_command,
 )
 from orchidpath.state.machine import FleetState
 from orchidpath.wire.backend import OrderKind, WorkerOrder, WorkerOrderReply
-from orchidpath.wire.configuration import Configuration, Service, ServiceKind
 from orchidpath.wire.records import Stage, WorkerRecord
 from worker_orders import PlatformOrderFormat
 
@@ -118,22 +117,7 @@
         self.now = 0.0
         self.arrivals: list[tuple[float, str, WorkerOrder]] = []
         """When an order reached a worker, from which machine."""
-        service = Service(
-            name="s",
-            kind=ServiceKind.MODEL,
-            models=["m"],
-            balanced_decode_share=0.2,
-            least_decode_workers=2,
-        )
-        configuration = Configuration(services=[service])
-        self._apply(
-            SubmitConfiguration(
-                order_id="o",
-                base_version=0,
-                configuration=configuration,
-                digest=configuration_digest(0, configuration),
-            )
-        )
+        self._apply(split_configuration())
         stages = [Stage.PREFILL] * prefill + [Stage.DECODE] * decode
         self.workers = {f"w{number}": Worker(f"w{number}", s) for number, s in enumerate(stages)}
         for worker in self.workers.values():
