Of three model workers one decodes, not two

Change: no more than half of the workers decode for the sake of the fewest. Fleets of four and more are unchanged.

--- a/src/orchidpath/placement/balance.py
+++ b/src/orchidpath/placement/balance.py
@@ -37,7 +37,9 @@
         How many workers it has now.
     """
     share = math.ceil(service.balanced_decode_share * workers - 1e-9)
-    wanted = max(share, service.least_decode_workers)
+    # Of three workers two that decode would leave one to read all prompts, and wait for it.
+    least = min(service.least_decode_workers, max(workers // 2, 1))
+    wanted = max(share, least)
     # A worker that decodes can read prompts too; one that reads prompts serves nobody alone.
     most = max(workers - 1, min(workers, 1))
     return min(wanted, most)
