--- a/deploy/write_days.py
+++ b/deploy/write_days.py
@@ -1,11 +1,10 @@
 """Writes the days of `deploy/days.toml` for the users' bench, one file each, to `target/days/`."""
 
+import json
 import sys
 import tomllib
 from pathlib import Path
-from typing import Any
-
-import msgspec
+from typing import Any, NamedTuple
 
 SOURCE = Path(__file__).with_name("days.toml")
 FOLDER = Path("target/days")
@@ -14,7 +13,7 @@
 FIRST_SEED = 4101
 
 
-class Trouble(msgspec.Struct, frozen=True):
+class Trouble(NamedTuple):
     """One way of one kind of trouble."""
 
     kind: str
@@ -56,9 +55,7 @@
 
 def _entry(trouble: Trouble, at_seconds: float) -> str:
     fields = {"at": at_seconds, "kind": trouble.kind, **trouble.fields}
-    values = ", ".join(
-        f"{name} = {msgspec.json.encode(value).decode()}" for name, value in fields.items()
-    )
+    values = ", ".join(f"{name} = {json.dumps(value)}" for name, value in fields.items())
     return f"{{ {values} }}"
 
 
