--- a/src/orchidpath/cli/simulate.py
+++ b/src/orchidpath/cli/simulate.py
@@ -13,7 +13,8 @@
 from orchidpath.routing.request_guards import Guard as RequestGuard
 from orchidpath.simulation.fleet_simulation import DisabledGuards
 from orchidpath.simulation.path_guards import PathGuard
-from orchidpath.simulation.scenarios import Scenario, ScenarioResult, run_scenario
+from orchidpath.simulation.scenario import Scenario
+from orchidpath.simulation.scenarios import ScenarioResult, run_scenario
 
 ALL = "all"
 GUARD_NAMES = {
--- a/src/orchidpath/simulation/plan_simulation.py
+++ b/src/orchidpath/simulation/plan_simulation.py
@@ -18,6 +18,7 @@
 
 from orchidpath.placement.planner import make_preview
 from orchidpath.simulation.control_node import ControlNode
+from orchidpath.simulation.fault_driver import FaultDriver
 from orchidpath.simulation.fleet_checks import InvariantError
 from orchidpath.simulation.fleet_simulation import (
     RECOVERY_SECONDS,
@@ -25,7 +26,8 @@
     FleetShape,
     FleetSimulation,
 )
-from orchidpath.simulation.scenarios import FAULT_TIME_SECONDS, FaultDriver, Scenario
+from orchidpath.simulation.scenario import Scenario
+from orchidpath.simulation.scenarios import FAULT_TIME_SECONDS
 from orchidpath.standins.backend_core import BackendCore
 from orchidpath.state.commands import SubmitConfiguration, configuration_digest
 from orchidpath.state.machine import FleetState
--- a/tests/simulation/test_fleet_simulation.py
+++ b/tests/simulation/test_fleet_simulation.py
@@ -3,7 +3,8 @@
 import pytest
 
 from orchidpath.cli.simulate import GUARD_NAMES, disabled_guards
-from orchidpath.simulation.scenarios import REQUESTS_PER_SECOND, Scenario, run_scenario
+from orchidpath.simulation.scenario import Scenario
+from orchidpath.simulation.scenarios import REQUESTS_PER_SECOND, run_scenario
 
 SEEDS = (0, 1, 2)
 
--- a/tests/simulation/test_plan_simulation.py
+++ b/tests/simulation/test_plan_simulation.py
@@ -6,7 +6,7 @@
 from orchidpath.placement import execution
 from orchidpath.placement.execution import PlanSituation
 from orchidpath.simulation.plan_simulation import run_plan_scenario
-from orchidpath.simulation.scenarios import Scenario
+from orchidpath.simulation.scenario import Scenario
 from orchidpath.standins.order_fence import OrderFence
 from orchidpath.state.plans import PlanRecord, StepPhase
 from orchidpath.wire.records import WorkerRecord
--- a/tests/simulation/test_request_simulation.py
+++ b/tests/simulation/test_request_simulation.py
@@ -11,12 +11,8 @@
 from orchidpath.cli.simulate import GUARD_NAMES, disabled_guards
 from orchidpath.simulation.fleet_simulation import AGENCY, DisabledGuards
 from orchidpath.simulation.request_fleet import RequestFleet
-from orchidpath.simulation.scenarios import (
-    REQUESTS_PER_SECOND,
-    Scenario,
-    ScenarioResult,
-    run_scenario,
-)
+from orchidpath.simulation.scenario import Scenario
+from orchidpath.simulation.scenarios import REQUESTS_PER_SECOND, ScenarioResult, run_scenario
 
 SEEDS = {
     Scenario.WORKERS_CRASH: (0, 1, 2),
@@ -112,7 +108,8 @@
 
 def test_a_seed_gives_the_same_run_whatever_the_hash_seed() -> None:
     code = (
-        "from orchidpath.simulation.scenarios import Scenario, run_scenario;"
+        "from orchidpath.simulation.scenario import Scenario;"
+        "from orchidpath.simulation.scenarios import run_scenario;"
         "print(run_scenario(Scenario.MIXED_WITH_REQUESTS, 1))"
     )
     here = repr(result_of(Scenario.MIXED_WITH_REQUESTS, 1))
