--- a/review/harness.py
+++ b/review/harness.py
@@ -427,7 +427,7 @@
         give_up_at = time.monotonic() + patience_s
         answer = None
         while time.monotonic() < give_up_at:
-            answer = await self.control_call("PUT", "/config", headers, body, timeout_s=3.0)
+            answer = await self.control_call("PUT", "/config", headers, body, timeout_s=1.0)
             if answer is not None and answer.status == 200:
                 self.record.write(f"operator: version {document['version']} is acknowledged")
                 return self.record.now()
