Accept configuration versions above 2**64 - 1, and end no leader for a number

Cause: a version of any size passed the checks, but msgpack represents integers up to 2**64 - 1. The leader raised OverflowError while it encoded the command for its log, inside an event of the replica, which ends the process; the operator's repetition then reached the next leader. The `seq` of a worker's heartbeat takes the same way through WorkerChanged.

A test changes each number of a document to the edges of 32, 53, 63 and 64 bits and beyond, and encodes what is accepted.

--- a/src/orchidpath/common/typed_walk.py
+++ b/src/orchidpath/common/typed_walk.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 from enum import Enum
-from typing import Any, Protocol, get_args, get_origin
+from typing import Any, Protocol, Union, get_args, get_origin
 
 import msgspec
 
@@ -168,6 +168,8 @@
         return []
     if isinstance(expected, type) and issubclass(expected, Enum):
         return next(iter(expected)).value
+    if get_origin(expected) is Union:
+        return _placeholder(get_args(expected)[0])
     return _PLACEHOLDERS.get(expected)
 
 
--- a/src/orchidpath/control/api/conditional_updates.py
+++ b/src/orchidpath/control/api/conditional_updates.py
@@ -101,10 +101,10 @@
     accepted = state.find_update(update.order_id)
     if accepted is not None and isinstance(accepted.outcome, UpdateAccepted):
         return await _submit(access, update, _repeated_command(state, accepted, accepted.outcome))
-    if update.base_label != state.configuration.label:
+    if update.base_label != state.configuration.label_number:
         return ConditionalUpdateOutcome.CONFLICT
     resolved = _resolve(state, update)
-    if resolved.configuration.label <= state.configuration.label:
+    if resolved.configuration.label_number <= state.configuration.label_number:
         return ConditionalUpdateOutcome.INVALID
     base_version = state.configuration_version
     command = SubmitConfiguration(
--- a/src/orchidpath/state/configuration_checks/forward_validation.py
+++ b/src/orchidpath/state/configuration_checks/forward_validation.py
@@ -32,7 +32,7 @@
         problems += _repetition_problems(names, route.name, position, f"{path}.name")
         match = (route.host.lower(), route.path_prefix)
         problems += _repetition_problems(matches, match, position, f"{path}.path_prefix")
-    if configuration.label < 0:
+    if configuration.label_number < 0:
         problems.append(Problem(path="label", message="must not be negative"))
     return problems
 
--- a/src/orchidpath/state/configuration_checks/structure.py
+++ b/src/orchidpath/state/configuration_checks/structure.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 from collections.abc import Iterable
 from enum import Enum
 from typing import Any
@@ -15,6 +16,7 @@
 from orchidpath.common.problems import Problem
 from orchidpath.common.typed_walk import walk
 from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.integers import LARGE_INTEGER_PATTERN, MAX_DIGITS, EncodedInteger
 
 _SHOWN_CHARACTERS = 40
 """Maximum number of characters of a value in a message."""
@@ -76,8 +78,9 @@
     if expected is bool:
         return "" if isinstance(value, bool) else "true or false"
     if expected is int:
-        is_integer = isinstance(value, int) and not isinstance(value, bool)
-        return "" if is_integer else "an integer"
+        return "" if _is_integer(value) else "an integer"
+    if expected == EncodedInteger:
+        return "" if _is_encoded_integer(value) else "an integer, or the digits of a large one"
     if expected is float:
         return "" if _is_finite_number(value) else "a number"
     if isinstance(expected, type) and issubclass(expected, Enum):
@@ -86,6 +89,16 @@
     raise NotImplementedError(f"no rule for values of type {expected}")
 
 
+def _is_integer(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_encoded_integer(value: object) -> bool:
+    if not isinstance(value, str):
+        return _is_integer(value)
+    return len(value) <= MAX_DIGITS and re.search(LARGE_INTEGER_PATTERN, value) is not None
+
+
 def _is_finite_number(value: object) -> bool:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
--- a/src/orchidpath/tools/settings_reference.py
+++ b/src/orchidpath/tools/settings_reference.py
@@ -4,7 +4,7 @@
 import inspect
 import types
 from collections.abc import Iterator
-from typing import Any, get_args, get_origin
+from typing import Any, Union, get_args, get_origin
 
 import msgspec
 
@@ -23,6 +23,7 @@
     Service,
     WeightedService,
 )
+from orchidpath.wire.integers import LargeIntegerText
 
 _SECTIONS: tuple[tuple[str, type[msgspec.Struct]], ...] = (
     ("Router settings", RouterSettings),
@@ -147,7 +148,9 @@
         return names[kind]
     if get_origin(kind) is list:
         return f"list of {_type_text(get_args(kind)[0])}"
-    if isinstance(kind, types.UnionType):
+    if kind == LargeIntegerText:
+        return "text of digits"
+    if get_origin(kind) in {Union, types.UnionType}:
         return " or ".join(_type_text(each) for each in get_args(kind))
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         return "one of " + ", ".join(f"`{member.value}`" for member in kind)
--- a/src/orchidpath/wire/announcements.py
+++ b/src/orchidpath/wire/announcements.py
@@ -12,6 +12,9 @@
 MAX_SEQUENCE = 2**53
 """Largest version or sequence: JSON readers that use doubles represent larger ones inexactly."""
 
+FINAL_SEQUENCE = 2**63 - 1
+"""Sequence above that of every announcement; msgpack represents it."""
+
 _decoder = msgspec.json.Decoder(Announcement)
 
 
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from orchidpath.wire.integers import EncodedInteger, decode_integer, encode_integer
+
 
 class ServiceKind(StrEnum):
     """Kind of request that a service executes."""
@@ -353,7 +355,8 @@
         Limits on what callers of forward routes send.
     label
         Number that the operator assigns to this configuration, 0 for none; if labels are used, each
-        new configuration has a larger one.
+        new configuration has a larger one. A label above 2**64 - 1 is written as the text of its
+        digits.
     """
 
     services: list[Service] = []
@@ -364,4 +367,15 @@
     placement: PlacementPolicy = PlacementPolicy()
     forward_routes: list[ForwardRoute] = []
     edge_limits: EdgeLimits = EdgeLimits()
-    label: int = 0
+    label: EncodedInteger = 0
+
+    def __post_init__(self) -> None:
+        """Bring the label into its encoded form, so that equal labels are equal values."""
+        encoded = encode_integer(self.label_number)
+        if encoded != self.label:
+            msgspec.structs.force_setattr(self, "label", encoded)
+
+    @property
+    def label_number(self) -> int:
+        """The label as an integer."""
+        return decode_integer(self.label)
--- a/tests/adapter/test_configuration_format.py
+++ b/tests/adapter/test_configuration_format.py
@@ -2,13 +2,22 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from platform_environment import document
 
 from configuration_format import InvalidDocumentError, Policies, StagePolicy, read_document
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.common.settings_file import load_settings
+from orchidpath.state.commands import (
+    SubmitConfiguration,
+    configuration_digest,
+    decode_command,
+    encode_command,
+)
 from orchidpath.wire.configuration import Repetition, ServiceKind
 
 ROOT = Path(__file__).parents[2]
@@ -79,3 +88,59 @@
     path.write_text("[placement]\npostponement = false\n")
     policies = load_settings(path, Policies)
     assert not read_document(document(9), policies).placement.postponement
+
+
+EDGE_NUMBERS = (
+    st.sampled_from(
+        [
+            sign * (2**bits + step)
+            for bits in (31, 32, 53, 63, 64, 100)
+            for step in (-1, 0, 1)
+            for sign in (1, -1)
+        ]
+    )
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+)
+
+
+def number_paths(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the path of every number in a decoded JSON document."""
+    if isinstance(value, dict):
+        return [found for key in value for found in number_paths(value[key], (*path, key))]
+    if isinstance(value, list):
+        return [
+            found
+            for index, item in enumerate(value)
+            for found in number_paths(item, (*path, index))
+        ]
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return [path] if is_number else []
+
+
+DOCUMENT = json.loads(document(3))
+NUMBER_PATHS = number_paths(DOCUMENT)
+
+
+@settings(deadline=None, derandomize=True, max_examples=500)
+@given(path=st.sampled_from(NUMBER_PATHS), number=EDGE_NUMBERS)
+def test_every_accepted_document_can_be_written_to_the_log(
+    path: tuple[Any, ...], number: float
+) -> None:
+    """Guards against a number that passes the checks and ends the leader that appends it."""
+    changed = json.loads(document(3))
+    holder = changed
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = number
+    try:
+        configuration = read_document(json.dumps(changed).encode(), Policies())
+    except InvalidDocumentError:
+        return
+    command = SubmitConfiguration(
+        order_id="a",
+        base_version=0,
+        configuration=configuration,
+        digest=configuration_digest(0, configuration),
+    )
+    assert decode_command(encode_command(command)) == command
--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -212,3 +212,58 @@
         assert answer.status == 200
         assert len(content) <= 4096
         assert json.loads(content) == {}
+
+
+DATE_VERSION = 20261204093000123456
+"""2026-12-04 09:30:00.123456 as a number, which is above 2**64 - 1."""
+
+
+async def submit_everywhere(environment: PlatformEnvironment, body: bytes, match: int) -> list[int]:
+    """Send an update to every machine, so to the leader too, and return the statuses."""
+    return [
+        (await environment.put_configuration(body, match, number)).status for number in range(3)
+    ]
+
+
+def failed_controls(environment: PlatformEnvironment) -> list[int]:
+    """Return the numbers of the machines whose control process has ended by itself."""
+    return [
+        number for number, control in enumerate(environment.controls) if control._tasks[0].done()
+    ]
+
+
+async def test_a_version_of_more_than_64_bits_is_accepted_and_no_process_ends(
+    tmp_path: Path,
+) -> None:
+    """Guards against a leader that ends when it appends a version that msgpack can't represent."""
+    (worker,) = stock("s1")
+    async with running(tmp_path, worker) as environment:
+        assert await submit_everywhere(environment, document(DATE_VERSION), 2) == [200, 200, 200]
+        assert failed_controls(environment) == []
+        for number in range(3):
+            assert await environment.get_configuration(number) == document(DATE_VERSION)
+        smaller = document(DATE_VERSION - 1)
+        assert await submit_everywhere(environment, smaller, DATE_VERSION) == [400, 400, 400]
+        later = change(10**25, remove={"routes": ["advice"]})
+        assert (await environment.patch_configuration(later, DATE_VERSION)).status == 200
+        assert json.loads(await environment.get_configuration(1))["version"] == 10**25
+        assert await environment.request_until_served("/stock/x") == b"stock"
+
+
+@pytest.mark.parametrize("sequence", [-1, 2**63 - 1, 2**64, DATE_VERSION, 10**30])
+async def test_a_heartbeat_with_a_sequence_out_of_range_is_rejected_and_no_process_ends(
+    tmp_path: Path, sequence: int
+) -> None:
+    """Guards against a leader that ends when it appends a sequence that msgpack can't represent."""
+    (worker,) = stock("s1")
+    async with running(tmp_path, worker) as environment:
+        newcomer = EmulatedWorker("s2", "stock-api")
+        await newcomer.start()
+        try:
+            heartbeat = {**newcomer.heartbeat(), "seq": sequence}
+            for number in range(3):
+                assert await environment.put_instance(newcomer, heartbeat, number) == 400
+            assert failed_controls(environment) == []
+            assert await environment.request_until_served("/stock/x") == b"stock"
+        finally:
+            await newcomer.stop()
--- a/tests/compatibility/http_samples.py
+++ b/tests/compatibility/http_samples.py
@@ -11,9 +11,14 @@
 import msgspec
 from msgspec import inspect
 
+from orchidpath.wire.integers import LARGE_INTEGER_PATTERN
+
 RAW_SAMPLE = b'{"kept":[1,2.5,"as it is"]}'
 """Sample of a part of a message that is passed on without being decoded."""
 
+LARGE_NUMBER_SAMPLE = "20261204093000123456"
+"""Sample of the digits of an integer above 2**64 - 1."""
+
 
 class UnsupportedTypeError(Exception):
     """A message contains a type for which no sample is defined."""
@@ -82,6 +87,8 @@
 
 def _scalar(kind: inspect.Type, default: object) -> Any:
     match kind:
+        case inspect.StrType(pattern=str(pattern)) if pattern == LARGE_INTEGER_PATTERN:
+            return LARGE_NUMBER_SAMPLE
         case inspect.StrType():
             return "näme-1" if default != "näme-1" else "näme-2"
         case inspect.IntType():
--- a/tests/compatibility/test_http_corpus.py
+++ b/tests/compatibility/test_http_corpus.py
@@ -11,7 +11,12 @@
 from http_names import http_names
 from http_samples import reachable_types
 
-CASES = read_cases("http_messages.json")
+LARGE_LABELS = read_cases("http_large_labels.json")
+"""Later cases: a label may be the digits of a large number."""
+CASES = {
+    label: [*cases, *LARGE_LABELS.get(label, [])]
+    for label, cases in read_cases("http_messages.json").items()
+}
 VALUES = read_json("http_enumerations.json")
 
 
--- a/tests/state/test_structure.py
+++ b/tests/state/test_structure.py
@@ -42,3 +42,17 @@
     with pytest.raises(InvalidConfigurationError) as caught:
         parse_configuration(raw)
     assert problem in caught.value.problems
+
+
+def test_a_label_may_be_a_large_number_or_its_digits() -> None:
+    for label in (20261204093000123456, "20261204093000123456"):
+        structure = read_structure({"label": label})
+        assert structure.configuration.label_number == 20261204093000123456
+        assert structure.problems == []
+
+
+@pytest.mark.parametrize("label", ["7", "2" * 20 + "\n", True, 1.5, None, []])
+def test_another_label_is_reported_with_its_path(label: object) -> None:
+    structure = read_structure({"label": label})
+    assert structure.unreadable_paths == {"label"}
+    assert structure.configuration.label == 0
--- a/tests/wire/test_configuration_delta.py
+++ b/tests/wire/test_configuration_delta.py
@@ -30,7 +30,7 @@
 
 
 def content(value: Configuration) -> tuple[int, dict[str, ForwardRoute]]:
-    return value.label, {route.name: route for route in value.forward_routes}
+    return value.label_number, {route.name: route for route in value.forward_routes}
 
 
 @pytest.mark.parametrize("seed", range(20))
