Keep a worker removed that counts its heartbeats beyond 2**53

Callers saw: a worker that numbers its heartbeats by nanoseconds (19 digits) and leaves with DELETE could be registered again by a heartbeat sent before the DELETE, and then got requests.

Cause: the removal was stored with the sequence 2**53, the largest of the product's own API, but a heartbeat on the platform may have any sequence.

Change: the removal has a sequence above that of every heartbeat that is accepted.

Evidence: the new test failed before for sequences above 2**53 and passes now; the existing test of the removal now asks for the higher sequence.

--- a/src/orchidpath/control/leadership/worker_liveness.py
+++ b/src/orchidpath/control/leadership/worker_liveness.py
@@ -8,7 +8,7 @@
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.state.commands import WorkerChanged, WorkerRemoved
 from orchidpath.state.fleet_state import FleetState
-from orchidpath.wire.announcements import MAX_SEQUENCE
+from orchidpath.wire.announcements import FINAL_SEQUENCE
 from orchidpath.wire.backend import Announcement
 from orchidpath.wire.records import WorkerRecord
 
@@ -63,10 +63,10 @@
         entry = self._state.find_worker(record.worker_id)
         if entry is None or entry.record.incarnation != record.incarnation:
             return
-        # The removal has the highest sequence, so that no announcement in transit can add the
+        # The sequence is above that of every announcement, so that none in transit can add the
         # worker again.
         removal = WorkerRemoved(
-            worker_id=record.worker_id, incarnation=record.incarnation, sequence=MAX_SEQUENCE
+            worker_id=record.worker_id, incarnation=record.incarnation, sequence=FINAL_SEQUENCE
         )
         self._output.propose_once(removal)
 
--- a/tests/control/test_worker_liveness.py
+++ b/tests/control/test_worker_liveness.py
@@ -8,10 +8,10 @@
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.state.commands import CordonWorker, WorkerChanged, WorkerRemoved
 from orchidpath.state.fleet_state import FleetState
-from orchidpath.wire.announcements import MAX_SEQUENCE
+from orchidpath.wire.announcements import FINAL_SEQUENCE
 from orchidpath.wire.backend import WORKER_LEASE_SECONDS, Announcement
 
-LEAVING = WorkerRemoved(worker_id="w1", incarnation="first", sequence=MAX_SEQUENCE)
+LEAVING = WorkerRemoved(worker_id="w1", incarnation="first", sequence=FINAL_SEQUENCE)
 
 
 class Leadership:
@@ -59,6 +59,22 @@
     assert leadership.output.take_proposals() == [LEAVING]
 
 
+@pytest.mark.parametrize("sequence", [2, 2**53, 2**53 + 1, FINAL_SEQUENCE - 1])
+def test_a_late_announcement_with_any_sequence_does_not_return_a_worker_that_left(
+    leadership: Leadership, sequence: int
+) -> None:
+    """Guards against a worker that counts in nanoseconds and is registered again after it left."""
+    leaving = Announcement(record=worker_record(), sequence=0, leaving=True)
+    for proposal in leadership.announce(leaving):
+        assert isinstance(proposal, WorkerRemoved)
+        apply_command(leadership.state, proposal)
+    late = Announcement(record=worker_record(), sequence=sequence)
+    for proposal in leadership.announce(late):
+        assert isinstance(proposal, WorkerChanged)
+        apply_command(leadership.state, proposal)
+    assert leadership.state.find_worker("w1") is None
+
+
 def test_another_incarnation_that_leaves_removes_nothing(leadership: Leadership) -> None:
     other = worker_record(incarnation="zero")
     assert leadership.announce(Announcement(record=other, sequence=9, leaving=True)) == []
