Refuse an update that the replicated log can't hold, before it is appended

Callers saw: nothing yet.

Cause: the size of a command was checked when it was read, before compression, but not when it was written. A document of 7.4 MB with 420,000 services is valid and becomes a command of 119 MB, 2.5 MB compressed; every replica that reads it stops with CommandDecodeError, again after each start. In the same way a frame was measured compressed by its sender and plain by its receiver, which then closes the connection, again and again. What can't be encoded at all raised OverflowError inside an event of the replica.

Change: one check before an update is proposed, at the process that received it: 413 with the size and the bound (31 MiB, so that messages with the configuration fit into a frame). Behind it, a leader rejects an update and drops a proposal that can't be encoded (event `proposal_dropped`), and a message that fits into no frame is lost like any other (`message_not_sent`).

--- a/src/orchidpath/control/api/conditional_updates.py
+++ b/src/orchidpath/control/api/conditional_updates.py
@@ -19,7 +19,7 @@
 
 from orchidpath.control.api.control_access import UnavailableError
 from orchidpath.control.api.operator_bodies import SubmitResult, SubmitStatus
-from orchidpath.state.commands import SubmitConfiguration, configuration_digest
+from orchidpath.state.commands import SubmitConfiguration, check_command, configuration_digest
 from orchidpath.state.fleet_state import FleetState
 from orchidpath.state.outcomes import UpdateAccepted, UpdateRecord
 from orchidpath.wire.configuration import Configuration
@@ -93,6 +93,11 @@
     update
         The update. An error that the ``resolve`` of a change raises is propagated; nothing was
         submitted then.
+
+    Raises
+    ------
+    CommandEncodeError
+        The update is too large for the log; nothing was submitted.
     """
     try:
         state = await access.read_state()
@@ -114,6 +119,7 @@
         digest=configuration_digest(base_version, resolved.configuration),
         document=resolved.document,
     )
+    check_command(command)
     return await _submit(access, update, command)
 
 
--- a/src/orchidpath/control/api/operator_api.py
+++ b/src/orchidpath/control/api/operator_api.py
@@ -49,7 +49,12 @@
     json_response,
     read_body,
 )
-from orchidpath.state.commands import SubmitConfiguration, configuration_digest
+from orchidpath.state.commands import (
+    CommandEncodeError,
+    SubmitConfiguration,
+    check_command,
+    configuration_digest,
+)
 from orchidpath.state.configuration_checks.validation import (
     InvalidConfigurationError,
     parse_configuration,
@@ -117,6 +122,7 @@
           confirmation.
         - 400 ``malformed`` and 422 ``invalid_configuration`` with every problem and its
           path: nothing was proposed.
+        - 413 ``too_large``: the configuration is too large for the log; nothing was proposed.
         - 409 ``version_conflict`` or ``order_id_reused``, with ``current_version``: rejected.
         - 503 ``no_leader`` with ``Retry-After``; ``taken`` is ``no`` or ``unknown``. A client sends
           an update of unknown outcome again unchanged: its ``order_id`` ensures that it takes
@@ -133,6 +139,12 @@
             configuration=configuration,
             digest=configuration_digest(body.base_version, configuration),
         )
+        try:
+            check_command(update)
+        except CommandEncodeError as error:
+            return error_response(
+                413, OperatorErrorCode.TOO_LARGE, str(error), order_id=body.order_id
+            )
         try:
             result = await self._access.submit(update)
         except Exception as error:  # noqa: BLE001
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -27,6 +27,7 @@
 from orchidpath.control.replica.control_effects import (
     ControlEffect,
     PlanActionAnswered,
+    ProposalDropped,
     ReadFailed,
     ReadReady,
     SendToConnected,
@@ -309,6 +310,10 @@
                 self._access.complete(effect.key, effect)
             case SendWorkerCommand():
                 self._worker_commands.send(effect.url, effect.command)
+            case ProposalDropped():
+                self._logger.error(
+                    "proposal_dropped", command=effect.command_type, reason=effect.reason
+                )
             case LeadershipChanged():
                 self._logger.info(
                     "leadership_changed",
--- a/src/orchidpath/control/replica/configuration_updates.py
+++ b/src/orchidpath/control/replica/configuration_updates.py
@@ -5,7 +5,7 @@
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.control.replica.pending_updates import PendingUpdates
 from orchidpath.control.replica.replicated_log import ReplicatedLog
-from orchidpath.state.commands import SubmitConfiguration
+from orchidpath.state.commands import CommandEncodeError, SubmitConfiguration
 from orchidpath.state.outcomes import UpdateResult
 
 VOTER_CONTACT_SECONDS = 1.0
@@ -58,6 +58,9 @@
         except NotLeaderError:
             self._reject(key, _NOT_LEADER)
             return
+        except CommandEncodeError as error:
+            self._reject(key, str(error))
+            return
         self._pending.proposed(key, proposal.index, proposal.term, now)
         self._log.run(proposal.effects, now)
 
--- a/src/orchidpath/control/replica/control_effects.py
+++ b/src/orchidpath/control/replica/control_effects.py
@@ -73,6 +73,13 @@
     command: WorkerCommand
 
 
+class ProposalDropped(msgspec.Struct, frozen=True):
+    """The leader did not propose a command, because the log can't represent it."""
+
+    command_type: str
+    reason: str
+
+
 PersistEffect = PersistHardState | PersistEntries | PersistSnapshot
 
 ControlEffect = (
@@ -86,4 +93,5 @@
     | ReadFailed
     | PlanActionAnswered
     | SendWorkerCommand
+    | ProposalDropped
 )
--- a/src/orchidpath/control/replica/plan_actions.py
+++ b/src/orchidpath/control/replica/plan_actions.py
@@ -5,6 +5,7 @@
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.control.replica.pending_plan_actions import PendingPlanActions, plan_command
 from orchidpath.control.replica.replicated_log import ReplicatedLog
+from orchidpath.state.commands import CommandEncodeError
 from orchidpath.state.outcomes import PlanResult
 from orchidpath.wire.messages import PlanActionRequest
 
@@ -33,7 +34,7 @@
         command = plan_command(request, self._log.state)
         try:
             proposal = self._log.append(command, now)
-        except NotLeaderError:
+        except (NotLeaderError, CommandEncodeError):
             self._output.emit(self._pending.rejection(key))
             return
         self._pending.proposed(key, proposal.index, proposal.term)
--- a/src/orchidpath/control/replica/replicated_log.py
+++ b/src/orchidpath/control/replica/replicated_log.py
@@ -23,9 +23,9 @@
 from orchidpath.consensus.raft_core import RaftCore
 from orchidpath.consensus.types import EntryKind, LogEntry, Membership
 from orchidpath.control.replica.consensus_codec import decode_consensus, encode_consensus
-from orchidpath.control.replica.control_effects import SendToMember
+from orchidpath.control.replica.control_effects import ProposalDropped, SendToMember
 from orchidpath.control.replica.control_output import ControlOutput
-from orchidpath.state.commands import Command, encode_command
+from orchidpath.state.commands import Command, CommandEncodeError, encode_command
 from orchidpath.state.fleet_state import FleetState
 from orchidpath.state.outcomes import Outcome
 from orchidpath.wire.messages import ConsensusMessage
@@ -94,6 +94,8 @@
 
         Raises
         ------
+        CommandEncodeError
+            The command can't be represented in the log; nothing was appended.
         NotLeaderError
             This replica is not the leader.
         """
@@ -103,12 +105,22 @@
     def propose(self, commands: Sequence[Command], now: float) -> None:
         """Append commands whose outcome no caller waits for.
 
+        A command that the log can't represent is dropped. If it ended the leader instead, the
+        event that caused it would reach the next leader, and end that one too.
+
         Raises
         ------
         NotLeaderError
             This replica is not the leader.
         """
-        payloads = [encode_command(command) for command in commands]
+        payloads = []
+        for command in commands:
+            try:
+                payloads.append(encode_command(command))
+            except CommandEncodeError as error:
+                self._output.emit(ProposalDropped(type(command).__name__, str(error)))
+        if not payloads:
+            return
         _, effects = self.raft.propose(payloads, now)
         self.run(effects, now)
 
--- a/src/orchidpath/state/commands.py
+++ b/src/orchidpath/state/commands.py
@@ -13,10 +13,24 @@
 from orchidpath.state.plans import Plan, StepPhase
 from orchidpath.wire.compression import CompressionError, compressed, decompressed
 from orchidpath.wire.configuration import Configuration
+from orchidpath.wire.framing import MAX_FRAME_BYTES
 from orchidpath.wire.records import ControlMember, RouterRecord, WorkerRecord
 
 MAX_COMMAND_BYTES = 64 * 1024 * 1024
-"""Largest command in bytes, before compression."""
+"""Largest command that is decoded, in bytes before compression."""
+
+FRAME_MARGIN_BYTES = 1024 * 1024
+"""Space in a frame for the workers, routers and other fields beside a configuration."""
+
+MAX_NEW_COMMAND_BYTES = MAX_FRAME_BYTES - FRAME_MARGIN_BYTES
+"""Largest command that is appended, in bytes before compression.
+
+The fleet view and the messages that contain its configuration then fit into a frame.
+"""
+
+
+class CommandEncodeError(OrchidpathError):
+    """A command can't be appended: it is too large, or the log can't represent a value of it."""
 
 
 class CommandDecodeError(OrchidpathError):
@@ -216,8 +230,37 @@
 
 
 def encode_command(command: Command) -> bytes:
-    """Return the compressed payload of the log entry for a command."""
-    return compressed(_encoder.encode(command))
+    """Return the compressed payload of the log entry for a command.
+
+    Raises
+    ------
+    CommandEncodeError
+        The command can't be appended to the log.
+    """
+    return compressed(_encode(command))
+
+
+def check_command(command: Command) -> None:
+    """Check that a command can be appended to the log; called before it is proposed.
+
+    Raises
+    ------
+    CommandEncodeError
+        The command can't be appended to the log.
+    """
+    _encode(command)
+
+
+def _encode(command: Command) -> bytes:
+    try:
+        encoded = _encoder.encode(command)
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise CommandEncodeError(str(error)) from error
+    if len(encoded) > MAX_NEW_COMMAND_BYTES:
+        raise CommandEncodeError(
+            f"{len(encoded)} bytes in the log are more than {MAX_NEW_COMMAND_BYTES} bytes"
+        )
+    return encoded
 
 
 def decode_command(payload: bytes) -> Command:
--- a/src/orchidpath/wire/connection.py
+++ b/src/orchidpath/wire/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from orchidpath.common.logs import get_logger
 from orchidpath.wire.connection_callbacks import (
     ConnectionCallbacks,
     ConnectionHandler,
@@ -21,6 +22,8 @@
 from orchidpath.wire.messages.membership_messages import Hello
 from orchidpath.wire.send_buffer import MAX_OUTGOING_BYTES, SendBuffer
 
+_log = get_logger("connection")
+
 
 class Connection(asyncio.Protocol):
     """One connection, created by :func:`orchidpath.wire.connector.connect` or by a listener.
@@ -93,17 +96,16 @@
         Returns
         -------
         bool
-            False if the message is certainly lost, since the connection is closed; True does not
-            guarantee that the message is delivered.
-
-        Raises
-        ------
-        FrameTooLargeError
-            The message is too large for a frame; the connection stays usable.
+            False if the message is certainly lost, since the connection is closed or the message
+            fits into no frame; True does not guarantee that the message is delivered.
         """
         if self._transport is None:
             return False
-        frame = encode_frame(message)
+        try:
+            frame = encode_frame(message)
+        except FrameError as error:
+            _log.error("message_not_sent", message=type(message).__name__, reason=str(error))
+            return False
         if self._faults is None:
             return self._enqueue(frame)
         remote = self._handshake.remote
--- a/src/orchidpath/wire/framing.py
+++ b/src/orchidpath/wire/framing.py
@@ -15,7 +15,7 @@
 from orchidpath.wire.messages import Message
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
-"""Largest payload of one frame; both the sender and the receiver reject a larger one."""
+"""Largest payload of one frame, compressed or not; sender and receiver reject a larger one."""
 
 LARGE_FRAME_BYTES = 2048
 """Smallest size of a frame that is cached, in case the same message is sent to other peers."""
@@ -44,12 +44,17 @@
 class FrameError(OrchidpathError):
     """Base class of the errors of a stream of frames; the stream is unusable after such an error.
 
-    Encoding raises only :class:`FrameTooLargeError`, after which the stream stays usable.
+    Encoding raises only :class:`FrameTooLargeError` and :class:`MessageEncodeError`, after which
+    the stream stays usable.
     """
 
 
 class FrameTooLargeError(FrameError):
-    """A frame is longer than :data:`MAX_FRAME_BYTES`."""
+    """A message or its frame is longer than :data:`MAX_FRAME_BYTES`."""
+
+
+class MessageEncodeError(FrameError):
+    """A message contains a value that msgpack can't represent."""
 
 
 class FrameDamagedError(FrameError):
@@ -66,15 +71,21 @@
     Raises
     ------
     FrameTooLargeError
-        The encoded message is longer than :data:`MAX_FRAME_BYTES`.
+        The encoded message is longer than :data:`MAX_FRAME_BYTES` before its compression.
+    MessageEncodeError
+        The message contains a value that msgpack can't represent.
     """
     if message is _last_large.message:
         return _last_large.frame
-    payload = compressed(_encoder.encode(message))
-    if len(payload) > MAX_FRAME_BYTES:
+    try:
+        encoded = _encoder.encode(message)
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise MessageEncodeError(f"{type(message).__name__}: {error}") from error
+    if len(encoded) > MAX_FRAME_BYTES:
         raise FrameTooLargeError(
-            f"message of {len(payload)} bytes exceeds the frame limit of {MAX_FRAME_BYTES} bytes"
+            f"message of {len(encoded)} bytes exceeds the frame limit of {MAX_FRAME_BYTES} bytes"
         )
+    payload = compressed(encoded)
     frame = _HEADER.pack(len(payload), crc32c(payload)) + payload
     if len(frame) >= LARGE_FRAME_BYTES:
         _last_large.message, _last_large.frame = message, frame
--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -16,6 +16,8 @@
     stock,
 )
 
+from orchidpath.state import commands
+
 
 async def test_of_racing_updates_one_is_accepted_and_every_machine_serves_it(
     tmp_path: Path,
@@ -267,3 +269,22 @@
             assert await environment.request_until_served("/stock/x") == b"stock"
         finally:
             await newcomer.stop()
+
+
+async def test_a_configuration_too_large_for_the_log_is_rejected_and_no_process_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a committed configuration that no replica can decode."""
+    monkeypatch.setattr(commands, "MAX_COMMAND_BYTES", 60_000)
+    monkeypatch.setattr(commands, "MAX_NEW_COMMAND_BYTES", 50_000, raising=False)
+    names = [service["name"] for service in json.loads(document(1))["services"]]
+    services = [*json.loads(document(1))["services"], *({"name": f"s{n}"} for n in range(500))]
+    too_large = document(7, services=services)
+    added = change(8, upsert={"services": services[len(names) :]})
+    async with running(tmp_path) as environment:
+        assert await submit_everywhere(environment, too_large, 2) == [413, 413, 413]
+        response = await environment.patch_configuration(added, 2)
+        assert response.status == 413
+        assert "50000 bytes" in (await response.json())["reason"]
+        assert failed_controls(environment) == []
+        assert (await environment.put_configuration(document(9), 2)).status == 200
--- a/tests/control/test_control_replica.py
+++ b/tests/control/test_control_replica.py
@@ -3,18 +3,27 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
+from leadership_builders import worker_record
 from update_builders import configuration_update
 
 from orchidpath.consensus.raft_core import RaftCore
 from orchidpath.consensus.types import Membership, RaftSettings, RestoredState
 from orchidpath.control.leadership.member_manager import MemberPolicy
-from orchidpath.control.replica.control_effects import SendToConnected, SendToNode, UpdateAnswered
+from orchidpath.control.replica.control_effects import (
+    ProposalDropped,
+    SendToConnected,
+    SendToNode,
+    UpdateAnswered,
+)
 from orchidpath.control.replica.control_replica import ControlReplica
+from orchidpath.wire.backend import Announcement
 from orchidpath.wire.messages import (
     ConsensusMessage,
     ControlMembers,
     DecisionReply,
     DecisionRequest,
+    ForwardedAnnouncements,
     Rejection,
     UpdateStatus,
 )
@@ -100,3 +109,28 @@
     assert received[1].version == 1
     assert received[2].answer is UpdateStatus.CONFIRMED
     assert received[2].version == 1
+
+
+def test_an_update_that_the_log_cannot_hold_is_rejected_and_the_leader_goes_on() -> None:
+    """Guards against a leader that ends for an operator's update."""
+    replica = leading_replica()
+    unencodable = msgspec.structs.replace(configuration_update("a", 0), base_version=2**64)
+    [answer] = update_answers(replica.submit(1, unencodable, NOW))
+    assert answer.answer is UpdateStatus.REJECTED
+    assert "2**64" in answer.reason
+    assert update_answers(replica.submit(2, configuration_update("b", 0), NOW)) == []
+    assert replica.has_authority(NOW)
+
+
+def test_a_proposal_that_the_log_cannot_hold_is_dropped_and_the_others_are_proposed() -> None:
+    """Guards against a leader that ends for a worker's announcement, and its successor too."""
+    replica = leading_replica()
+    announcements = tuple(
+        Announcement(record=worker_record(worker_id), sequence=sequence)
+        for worker_id, sequence in (("w1", 2**64), ("w2", 1))
+    )
+    message = ForwardedAnnouncements(announcements=announcements)
+    effects = [*replica.receive("r", message, NOW), *replica.tick(NOW + TICK)]
+    [dropped] = [effect for effect in effects if isinstance(effect, ProposalDropped)]
+    assert dropped.command_type == "WorkerChanged"
+    assert [worker.worker_id for worker in replica.state.workers()] == ["w2"]
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -16,6 +16,7 @@
 from orchidpath.control.api.control_access import ControlAccess, UnavailableError
 from orchidpath.control.api.operator_api import MAX_BODY_BYTES, create_operator_app
 from orchidpath.control.api.operator_bodies import Accepted, StatusBody, SubmitResult, SubmitStatus
+from orchidpath.state import commands
 from orchidpath.state.commands import (
     Command,
     RegisterControlMember,
@@ -399,3 +400,12 @@
         response = await client.put("/v1/configuration", data=body())
     assert response.status == 408
     release_body.set()
+
+
+async def test_an_update_that_the_log_cannot_hold_is_too_large(
+    client: Client, access: FakeAccess, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(commands, "MAX_NEW_COMMAND_BYTES", 100)
+    status, body = await put(client, update_body("o1", 0))
+    assert (status, body["error"]["code"], body["order_id"]) == (413, "too_large", "o1")
+    assert access.proposed == []
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from orchidpath.wire import framing
 from orchidpath.wire.connection import Connection
 from orchidpath.wire.connector import connect
 from orchidpath.wire.errors import ConnectError, FleetMismatchError, HelloError, SlowPeerError
@@ -282,3 +283,20 @@
     assert transport.is_closing()
     assert connected == []
     connection.connection_lost(None)
+
+
+async def test_a_message_that_fits_into_no_frame_is_lost_and_the_connection_stays_usable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that ends, or a peer that disconnects, for one message."""
+    inbox = Inbox()
+    listener = Listener(LOOPBACK, hello("a"), on_message=inbox)
+    await listener.start()
+    connection = await connect(listener.address, hello("b"), Inbox(), BOUND_SECONDS)
+    monkeypatch.setattr(framing, "MAX_FRAME_BYTES", 10_000)
+    assert not connection.send(ConsensusMessage(payload=bytes(20_000)))
+    assert not connection.send(FleetUpdateRequest(adopted_revision=2**64))
+    assert connection.send(WhoIsControl())
+    assert await inbox.get() == WhoIsControl()
+    connection.close()
+    await listener.close()
