--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -95,6 +95,20 @@
         assert json.loads(await environment.get_configuration(1)) == changed
 
 
+@pytest.mark.parametrize("match", ["", "two", "-2", "2.0", "\u00b2", "\u0662", "2" * 5000])
+async def test_a_malformed_base_version_is_rejected(tmp_path: Path, match: str) -> None:
+    """Guards against status 500, after which an operator sends the same call again and again."""
+    async with running(tmp_path, machines=1) as environment:
+        url = environment.control_url(0) + "/config"
+        async with aiohttp.ClientSession() as session:
+            headers = {"If-Match": match}
+            response = await session.put(url, data=document(7), headers=headers)
+            assert (response.status, await response.json()) == (
+                400,
+                {"reason": "If-Match must be a version"},
+            )
+
+
 INVALID_CHANGES: list[dict[str, Any]] = [
     {"remove": {"routes": ["nowhere"]}},
     {"remove": {"services": ["stock-api"]}},
