Answer and log a request that meets a fault of the router

Cause: nothing caught an unexpected error in ProxyRunner.run. It ended the connection's task, whose exception nobody reads, and the connection was closed.

Change: the runner logs such an error (`request_failed`, with the request's id and the traceback) and passes it to the machine as an event. The machine ends the request: 503 only if it was certainly not sent to a worker, else 502; a response that has begun is aborted. The worker's connection is closed. An error outside the runner is answered with 500 by the connection.

Evidence: the new tests on real sockets failed before with a closed connection. The walks of the machine meet the new event in each phase, and check that 503 is never sent after a dispatch.

--- a/src/orchidpath/forwarding/progress.py
+++ b/src/orchidpath/forwarding/progress.py
@@ -161,6 +161,11 @@
         if kind is FailureKind.REFUSED:
             self.may_have_executed = self._may_have_executed_before
 
+    def record_possible_dispatch(self) -> None:
+        """Record that the request may have been sent; it is unknown whether it was."""
+        self.may_have_executed = True
+        self.last_failure = FailureKind.BROKEN
+
     def has_workers_left(self) -> bool:
         """Return whether the route allows the request to be dispatched to a further worker."""
         extra_prefills = max(self._prefills - 1, 0)
--- a/src/orchidpath/forwarding/proxy/proxy_events.py
+++ b/src/orchidpath/forwarding/proxy/proxy_events.py
@@ -177,6 +177,10 @@
     """The request's deadline has passed; the operation in progress was cancelled."""
 
 
+class InternalErrorOccurred(msgspec.Struct, frozen=True):
+    """An unexpected error ended the operation in progress, at an unknown point."""
+
+
 class RequestClosed(msgspec.Struct, frozen=True):
     """The request is over: it was answered or abandoned, or its caller disconnected."""
 
@@ -200,5 +204,6 @@
     | ResponseCompleted
     | StreamBroken
     | DeadlinePassed
+    | InternalErrorOccurred
     | RequestClosed
 )
--- a/src/orchidpath/forwarding/proxy/proxy_machine.py
+++ b/src/orchidpath/forwarding/proxy/proxy_machine.py
@@ -246,6 +246,15 @@
         self._progress.last_failure = FailureKind.TIMED_OUT
         return self._end_with_error("the deadline has passed")
 
+    def _internal_error(
+        self, _event: events.InternalErrorOccurred, _now: float
+    ) -> list[ProxyEffect]:
+        """End the request; guarantee not-executed only if it was certainly not sent."""
+        if self._phase in _DISPATCHING_PHASES:
+            self._progress.record_possible_dispatch()
+        unused = effects.ReportRemaining(Observed.GATEWAY_FAULT)
+        return [effects.AbortConnection(), unused, *self._end_with_error("the router failed")]
+
     def _request_closed(self, _event: events.RequestClosed, _now: float) -> list[ProxyEffect]:
         """Report the outcome of unfinished attempts, and release a KV cache not yet fetched."""
         self._phase = ProxyPhase.DONE
@@ -254,6 +263,9 @@
         return [effects.ReportRemaining(observed), *self._release_handle()]
 
 
+_DISPATCHING_PHASES = frozenset({ProxyPhase.TRANSFERRING, ProxyPhase.AWAITING_HEAD})
+"""Phases in which the request may have been sent although no event has confirmed it."""
+
 _Transition = Callable[[ProxyMachine, Any, float], list[ProxyEffect]]
 
 _CHOOSING: dict[type, _Transition] = {
@@ -295,5 +307,10 @@
         for phase in ProxyPhase
         if phase is not ProxyPhase.DONE
     },
+    **{
+        (phase, events.InternalErrorOccurred): ProxyMachine._internal_error
+        for phase in ProxyPhase
+        if phase is not ProxyPhase.DONE
+    },
     **{(phase, events.RequestClosed): ProxyMachine._request_closed for phase in ProxyPhase},
 }
--- a/src/orchidpath/router/proxy/proxy_runner.py
+++ b/src/orchidpath/router/proxy/proxy_runner.py
@@ -7,6 +7,9 @@
 
 import asyncio
 
+import h11
+
+from orchidpath.common.logs import Logger, get_logger
 from orchidpath.forwarding.proxy import proxy_effects as effects
 from orchidpath.forwarding.proxy import proxy_events as events
 from orchidpath.forwarding.proxy.proxy_effects import ProxyOperation
@@ -65,6 +68,7 @@
             caller,
             may_be_resumed=route.streaming and route.repetition is Repetition.RESUMED,
         )
+        self._logger: Logger = get_logger("forward_request")
 
     async def run(self) -> None:
         """Serve the request until its response is complete or has failed.
@@ -75,12 +79,22 @@
             If the caller disconnected.
         CallerDisconnectedError
             If the response can't be written to the caller, or had to be aborted.
+        h11.LocalProtocolError
+            If the worker's response does not match the length in its head.
         """
         try:
             async with asyncio.timeout_at(self._plan.deadline):
                 await self._serve()
         except TimeoutError:
             self._handle(events.DeadlinePassed())
+        except (CallerDisconnectedError, h11.LocalProtocolError):
+            raise  # No response can be written to the caller any more.
+        except Exception as error:
+            # Outermost loop of a request: its caller gets an answer for every fault of the program.
+            self._logger.exception(
+                "request_failed", request_id=self._plan.request_id, error=str(error)
+            )
+            self._handle(events.InternalErrorOccurred())
         finally:
             self._handle(events.RequestClosed())
 
--- a/src/orchidpath/router/proxy/proxy_server.py
+++ b/src/orchidpath/router/proxy/proxy_server.py
@@ -23,6 +23,9 @@
 TOO_LARGE_STATUS = 413
 HEAD_TOO_LARGE_STATUS = 431
 TIMEOUT_STATUS = 408
+FAILED_STATUS = 500
+
+_logger = get_logger("forward_server")
 
 
 class CallerDisconnectedError(OrchidpathError):
@@ -143,8 +146,12 @@
         except h11.LocalProtocolError as error:
             # The body is shorter or longer than its head states. The caller must not mistake the
             # response for a complete one.
-            get_logger("forward_server").warning("answer_broken_off", reason=str(error))
+            _logger.warning("answer_broken_off", reason=str(error))
             self.abort()
+        except Exception as error:
+            # Outermost loop of a connection: the caller gets an answer, and the log the fault.
+            _logger.exception("request_failed", error=str(error))
+            self._answer_failed()
         finally:
             self.close()
 
@@ -165,6 +172,15 @@
             return
         self.send_response(rejected.status, (), str(rejected).encode(), closes=True)
 
+    def _answer_failed(self) -> None:
+        """Answer with status 500, or abort a response that has begun."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._http.our_state is h11.SEND_RESPONSE:
+            self.send_response(FAILED_STATUS, (), b"the router failed", closes=True)
+        else:
+            self.abort()
+
     async def _read_request(self) -> ForwardedRequest | None:
         """Return the next complete request; None if the caller closes or is idle for too long."""
         head = await self._read_head()
--- a/src/orchidpath/router/proxy/worker_exchange.py
+++ b/src/orchidpath/router/proxy/worker_exchange.py
@@ -86,18 +86,23 @@
                 connection = await environment.pool.connection(
                     chosen.address, environment.state.connection_limit(self._service)
                 )
-            refusal = environment.state.send_refusal(
-                worker.worker_id, worker.incarnation, chosen.stage, environment.clock()
-            )
-            if refusal is not None:
-                environment.pool.release_unused(chosen.address, connection)
-                return events.SendRefused(refusal)
-            self._write(connection, dispatch)
         except NoConnectionError:
             return events.ConnectFailed()
         except TimeoutError:
             return events.ExchangeTimedOut()
+        # From here on, the connection is closed if an operation fails.
         self._connection = connection
+        refusal = environment.state.send_refusal(
+            worker.worker_id, worker.incarnation, chosen.stage, environment.clock()
+        )
+        if refusal is not None:
+            self._connection = None
+            environment.pool.release_unused(chosen.address, connection)
+            return events.SendRefused(refusal)
+        try:
+            self._write(connection, dispatch)
+        except NoConnectionError:
+            return events.ConnectFailed()
         return events.Dispatched()
 
     async def await_prefill(self, timeout_at: float) -> ProxyEvent:
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import pytest
@@ -29,6 +30,8 @@
     stream_and_abort_inside_an_event,
 )
 
+from orchidpath.router.proxy.upstream import UpstreamConnection
+
 MODEL = {
     "X-Model": "m",
     "X-Token-Usage": "73000,80",
@@ -452,3 +455,36 @@
         assert statuses <= {503, 504}
         for response, _ in answers:
             assert (response.status == 503) is ("Retry-After" in response.headers)
+
+
+@pytest.mark.parametrize("is_sent", [False, True])
+async def test_a_fault_of_the_router_is_answered_and_later_requests_are_served(
+    tmp_path: Path, is_sent: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against callers whose connection closes without an answer.
+
+    The answer promises nothing, because the fault may have come after the request was sent.
+    """
+    (worker,) = stock("s1")
+    send = UpstreamConnection.send
+
+    def fail_to_send(
+        self: UpstreamConnection, method: bytes, target: bytes, headers: Any, body: bytes
+    ) -> None:
+        if is_sent:
+            send(self, method, target, headers, body)
+        raise KeyError("fault")
+
+    async with running(tmp_path, worker) as environment:
+        await environment.request_until_served("/stock/x")
+        monkeypatch.setattr(UpstreamConnection, "send", fail_to_send)
+        failed = 0
+        async with asyncio.timeout(WAIT_SECONDS):
+            while failed < 3:
+                response, body = await environment.request("/stock/x")
+                # A router that has lost its lease rejects the request before it is sent.
+                if response.status != 503:
+                    assert (response.status, body) == (502, b"the router failed")
+                    failed += 1
+        monkeypatch.undo()
+        assert await environment.request_until_served("/stock/x") == b"stock"
--- a/tests/forwarding/proxy/test_proxy_machine.py
+++ b/tests/forwarding/proxy/test_proxy_machine.py
@@ -171,6 +171,48 @@
     assert not streaming.has_effect(effects.SendErrorResponse)
 
 
+@pytest.mark.parametrize(
+    ("sequence", "status"),
+    [
+        ((), 503),
+        ((single_worker("w1", Stage.PLAIN),), 502),
+        ((single_worker("w1", Stage.PLAIN), events.Dispatched()), 502),
+        ((single_worker("w1", Stage.PLAIN), events.Dispatched(), *REJECTED), 503),
+    ],
+)
+def test_an_internal_error_ends_a_request_with_a_final_response(
+    sequence: tuple[events.ProxyEvent, ...], status: int
+) -> None:
+    """Guards against callers that get no answer, or a guarantee for a request that was sent."""
+    driver = MachineDriver(is_model=False, max_attempts=3)
+    driver.take(events.RequestStarted(), *sequence, events.InternalErrorOccurred())
+    answer = driver.single_effect(effects.SendErrorResponse)
+    assert answer.status == status
+    assert (answer.retry_after_seconds is not None) == (status == 503)
+    assert driver.single_effect(effects.ReportRemaining).observed is Observed.GATEWAY_FAULT
+    assert driver.has_effect(effects.AbortConnection)
+    assert not driver.take(events.InternalErrorOccurred()).effects
+
+
+def test_an_internal_error_during_a_prefill_guarantees_not_executed_and_releases_the_cache() -> (
+    None
+):
+    prefilling = MachineDriver().take(events.RequestStarted(), pair(), events.Dispatched())
+    answer = prefilling.take(events.InternalErrorOccurred()).single_effect(
+        effects.SendErrorResponse
+    )
+    assert answer.status == 503
+    decoding = transferring().take(events.InternalErrorOccurred())
+    assert decoding.single_effect(effects.SendErrorResponse).status == 502
+    assert decoding.take(events.RequestClosed()).has_effect(effects.ReleaseHandle)
+
+
+def test_an_internal_error_aborts_a_response_that_has_begun() -> None:
+    streaming = awaiting_head().take(head(), events.InternalErrorOccurred())
+    assert streaming.has_effect(effects.AbortResponse)
+    assert not streaming.has_effect(effects.SendErrorResponse)
+
+
 def test_the_cache_of_a_disconnected_caller_is_released() -> None:
     driver = transferring().take(events.RequestClosed())
     assert driver.single_effect(effects.ReportRemaining).observed is Observed.CLIENT_CANCELLED
--- a/tests/forwarding/proxy/test_proxy_machine_walks.py
+++ b/tests/forwarding/proxy/test_proxy_machine_walks.py
@@ -13,6 +13,7 @@
 from orchidpath.wire.records import Stage
 
 DEADLINE_PROBABILITY = 0.02
+ERROR_PROBABILITY = 0.02
 
 
 class Walk:
@@ -20,6 +21,7 @@
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
+        self.errors = Random(f"errors of {seed}")
         self.repetition = self.random.choice(tuple(Repetition))
         self.max_attempts = self.random.randrange(1, 4)
         self.driver = MachineDriver(
@@ -65,6 +67,9 @@
                 self.may_have_executed -= 1
             case events.ResponseCompleted():
                 self.final_responses += 1
+            case events.InternalErrorOccurred() if isinstance(operation, effects.Dispatch):
+                # The request may have been sent before the error.
+                self.may_have_executed += not operation.is_prefill
             case events.Dispatched() if not _is_prefill(operation):
                 assert isinstance(operation, effects.Dispatch)
                 assert not self.may_have_executed or self.repetition is not Repetition.NEVER
@@ -89,7 +94,9 @@
                 self.final_responses += 1
 
     def random_result(self, operation: effects.ProxyOperation) -> events.ProxyEvent:
-        """Return a random event that ends the operation, sometimes the end of the deadline."""
+        """Return a random event that ends the operation, sometimes the deadline or an error."""
+        if self.errors.random() < ERROR_PROBABILITY:
+            return events.InternalErrorOccurred()
         if self.random.random() < DEADLINE_PROBABILITY:
             return events.DeadlinePassed()
         match operation:
--- a/tests/router/test_proxy_server.py
+++ b/tests/router/test_proxy_server.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from orchidpath.common.clock import monotonic_seconds
-from orchidpath.router.proxy.proxy_messages import ForwardedRequest
+from orchidpath.router.proxy.proxy_messages import ForwardedRequest, ResponseHead
 from orchidpath.router.proxy.proxy_server import CallerConnection, ProxyServer
 from orchidpath.wire.configuration import EdgeLimits
 
@@ -87,3 +87,40 @@
         server.stop_listening()
         assert await reader.read() == b""
         writer.close()
+
+
+class FailingHandler(Handler):
+    """Request handler with a fault: it raises, after the head of a response if ``begins``."""
+
+    def __init__(self, *, begins: bool) -> None:
+        super().__init__()
+        self.begins = begins
+
+    async def handle(self, request: ForwardedRequest, caller: CallerConnection) -> None:
+        if self.begins:
+            caller.send_head(ResponseHead(status=200, headers=()))
+            caller.send_body(b"part")
+        raise KeyError("fault")
+
+
+async def test_a_fault_in_the_handler_is_answered() -> None:
+    """Guards against a caller whose connection closes without an answer."""
+    async with serving(FailingHandler(begins=False)) as server:
+        reader, writer = await connect(server)
+        writer.write(REQUEST)
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 500")
+        assert answer.endswith(b"\r\n\r\nthe router failed")
+        writer.close()
+
+
+async def test_a_fault_in_the_middle_of_a_response_leaves_it_visibly_incomplete() -> None:
+    async with serving(FailingHandler(begins=True)) as server:
+        reader, writer = await connect(server)
+        writer.write(REQUEST)
+        answer = b""
+        with suppress(ConnectionError):
+            while part := await reader.read(100):
+                answer += part
+        assert not answer.endswith(b"0\r\n\r\n")
+        writer.close()
