Serve requests in progress after their service has left the configuration

Cause: WorkerExchange looked up the connection limit by the service's name at each send, in the newest adopted configuration. A request that was routed by an earlier one, and has still to send to a worker after its prefill, a refusal, a failed transfer or a broken stream, found no service.

Change: a request takes the service as its configuration listed it, once, when it is routed, and passes it on; nothing looks a service up by name after that. Workers stay registered whatever services are listed, so the request ends where it began.

--- a/src/orchidpath/router/proxy/proxy_edge.py
+++ b/src/orchidpath/router/proxy/proxy_edge.py
@@ -209,7 +209,7 @@
         except MalformedRequestError as error:
             caller.send_response(400, (), str(error).encode())
             return
-        service = self._split.next_service(route)
+        service = self._state.service(self._split.next_service(route))
         runner = ProxyRunner(self._environment, request, request_metadata, route, service, caller)
         await runner.run()
 
--- a/src/orchidpath/router/proxy/proxy_runner.py
+++ b/src/orchidpath/router/proxy/proxy_runner.py
@@ -24,7 +24,7 @@
 from orchidpath.router.proxy.response_relay import ResponseRelay
 from orchidpath.router.proxy.worker_exchange import WorkerExchange, release_handle
 from orchidpath.routing.ring import request_key
-from orchidpath.wire.configuration import ForwardRoute, Repetition, ServiceKind
+from orchidpath.wire.configuration import ForwardRoute, Repetition, Service, ServiceKind
 from orchidpath.wire.records import Stage
 
 
@@ -42,7 +42,7 @@
     route
         Route that the request matched.
     service
-        Name of the service that processes the request.
+        Service that the request was routed to; a later configuration may no longer list it.
     caller
         Connection that the response is written to.
     """
@@ -53,13 +53,13 @@
         request: ForwardedRequest,
         request_metadata: RequestMetadata,
         route: ForwardRoute,
-        service: str,
+        service: Service,
         caller: CallerConnection,
     ) -> None:
         self._environment = environment
         self._route = route
         self._caller = caller
-        subject = _decision_subject(environment, request_metadata, route, service)
+        subject = _decision_subject(request_metadata, route, service)
         self._plan = _request_plan(environment, request, request_metadata, route, subject)
         self._machine = ProxyMachine(self._plan, _shared_resources(environment, subject))
         self._attempts = ProxyAttempts(environment, request_metadata, subject)
@@ -172,15 +172,19 @@
 
 
 def _decision_subject(
-    environment: ProxyEnvironment, metadata: RequestMetadata, route: ForwardRoute, service: str
+    metadata: RequestMetadata, route: ForwardRoute, service: Service
 ) -> DecisionSubject:
-    """Return the subject of every routing decision for the request."""
-    is_model = environment.state.service_kind(service) is ServiceKind.MODEL
+    """Return the subject of every routing decision for the request.
+
+    A request that names no model is for the first model of the service.
+    """
+    is_model = service.kind is ServiceKind.MODEL
+    first_model = service.models[0] if service.models else ""
     key = metadata.prefix_key if route.prefix_affinity else request_key(metadata.request_id)
     return DecisionSubject(
         request_id=metadata.request_id,
-        service=service,
-        model=environment.state.model_of(service, metadata.model),
+        service=service.name,
+        model=metadata.model or first_model,
         is_model=is_model,
         prefix_key=key,
         prompt=metadata.prompt if is_model else None,
--- a/src/orchidpath/router/proxy/worker_exchange.py
+++ b/src/orchidpath/router/proxy/worker_exchange.py
@@ -26,6 +26,7 @@
     UpstreamConnection,
     UpstreamError,
 )
+from orchidpath.wire.configuration import Service
 
 MAX_PREFILL_REPLY_BYTES = 65_536
 """Upper bound on the body of a response to a prefill; a larger body is malformed."""
@@ -55,7 +56,7 @@
     request_metadata
         Metadata from the headers of the request.
     service
-        Name of the service that processes the request.
+        Service that the request was routed to.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         environment: ProxyEnvironment,
         request: ForwardedRequest,
         request_metadata: RequestMetadata,
-        service: str,
+        service: Service,
     ) -> None:
         self._environment = environment
         self._request = request
--- a/src/orchidpath/router/routing_state.py
+++ b/src/orchidpath/router/routing_state.py
@@ -17,7 +17,7 @@
 from orchidpath.routing.request.events import SendRefusal
 from orchidpath.routing.retry_budget import RetryBudget
 from orchidpath.routing.route_table import RouteTable
-from orchidpath.wire.configuration import Configuration, Service, ServiceKind
+from orchidpath.wire.configuration import Configuration, Service
 from orchidpath.wire.messages import CircuitsView
 from orchidpath.wire.records import FleetView, Stage, WorkerRecord, WorkerStatus
 
@@ -113,18 +113,17 @@
             self._budgets[service] = budget
         return budget
 
-    def service_kind(self, name: str) -> ServiceKind:
-        """Return the kind of a configured service; KeyError for any other name."""
-        return self._services[name].kind
+    def service(self, name: str) -> Service:
+        """Return a service that a route of the adopted configuration names.
 
-    def model_of(self, service: str, model: str) -> str:
-        """Return the model of a request; the default is the first model of the service."""
-        models = self._services[service].models
-        return model or (models[0] if models else "")
+        A request calls this once, when it is routed, and keeps the result: a later configuration
+        may no longer list the service of a request in progress.
+        """
+        return self._services[name]
 
-    def connection_limit(self, name: str) -> int:
+    def connection_limit(self, service: Service) -> int:
         """Return how many connections this router may open to a worker; 0 means no limit."""
-        limit = self._services[name].max_connections
+        limit = service.max_connections
         if not limit:
             return 0
         return max(LEAST_CONNECTIONS, int(CONNECTION_SHARE * limit / self._router_count))
--- a/tests/router/proxy_recording.py
+++ b/tests/router/proxy_recording.py
@@ -40,6 +40,7 @@
     ForwardRoute,
     Repetition,
     RetryPolicy,
+    Service,
     ServiceKind,
     WeightedService,
 )
@@ -311,13 +312,6 @@
     def budget(self, _service: str) -> RetryBudget:
         return self._budget
 
-    def service_kind(self, _service: str) -> ServiceKind:
-        kinds = [kind for kind in ServiceKind if kind is not ServiceKind.MODEL]
-        return ServiceKind.MODEL if self._script.is_model else kinds[0]
-
-    def model_of(self, _service: str, model: str) -> str:
-        return model or "m"
-
     def eligible(self, _service: str, _stage: Stage, _model: str) -> tuple[str, ...]:
         if self._script.prefill_eligible == "varies":
             are_eligible = (
@@ -339,7 +333,7 @@
                 )
         return None
 
-    def connection_limit(self, _service: str) -> int:
+    def connection_limit(self, _service: Service) -> int:
         return 7
 
     def send_refusal(
@@ -658,7 +652,11 @@
         request,
         environment.protocol_mapping.read_request(headers),
         script.route,
-        "s",
+        Service(
+            name="s",
+            kind=ServiceKind.MODEL if script.is_model else ServiceKind.PLAIN,
+            models=["m"],
+        ),
         cast("Any", FakeCaller(script, log)),
     )
     task = loop.create_task(runner.run())
