Keep the retry budget of a service that leaves the configuration and returns

Callers saw: nothing measured; by reading, more retries than the budget allows after configurations that drop a service and list it again.

Change: budgets of services that are no longer listed are retained, the newest 256 of them.

--- a/src/orchidpath/router/routing_state.py
+++ b/src/orchidpath/router/routing_state.py
@@ -24,6 +24,9 @@
 CONNECTION_SHARE = 0.8
 """Share of a worker's connection limit that all routers together may use."""
 
+RETAINED_BUDGETS = 256
+"""Retry budgets retained for services that the configuration has ceased to list."""
+
 LEAST_CONNECTIONS = 2
 """Connections that each router may open to a worker, even when its share would be smaller."""
 
@@ -106,7 +109,7 @@
         return self._workers.get(worker_id)
 
     def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service; the configuration bounds the number of services."""
+        """Return the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(self._configuration.retry, self._router_count)
@@ -182,7 +185,16 @@
             configuration.circuit, admission.load_bound_factor, admission.load_bound_minimum
         )
         self.throttle.set_policy(configuration.circuit)
-        names = {service.name for service in configuration.services}
-        self._budgets = {name: budget for name, budget in self._budgets.items() if name in names}
+        self._drop_oldest_budgets()
         for budget in self._budgets.values():
             budget.set_policy(configuration.retry)
+
+    def _drop_oldest_budgets(self) -> None:
+        """Drop the oldest budgets of services that are no longer listed, above the limit.
+
+        The others are retained: a service may return within the window of its budget, and requests
+        of a service that was removed may still be retried.
+        """
+        unlisted = [name for name in self._budgets if name not in self._services]
+        for name in unlisted[:-RETAINED_BUDGETS]:
+            del self._budgets[name]
