Treat what a worker sends as a failed attempt and not as a fault of the router

Cause: values that workers send were converted without a check. A handle outside latin-1 or with a line break, a weights version, a Keep-Alive time or an event id of more than 4,300 digits, and an address that is no address raised an error in the middle of an exchange. A request that h11 refused also left its connection in use for ever, which counts against the worker's connection limit.

Change: one function converts digits (`common/digits.py`); a handle that fits into no header is a failed prefill; a malformed address is no connection; the refused connection is closed; a heartbeat whose address, id, service or stage no router could use is answered with 400, which names the field.

Evidence: the new tests of the router and the heartbeats failed before this commit, except those for handles that only are too long or empty.

--- a/src/orchidpath/common/addresses.py
+++ b/src/orchidpath/common/addresses.py
@@ -3,6 +3,7 @@
 from ipaddress import ip_address
 from typing import NamedTuple
 
+from orchidpath.common.digits import number_of_digits
 from orchidpath.common.errors import OrchidpathError
 
 MAX_PORT = 65535
@@ -37,9 +38,10 @@
         ip_address(host)
     except ValueError as error:
         raise AddressError(f"{host!r} in {address!r} is not an IP number") from error
-    if not (port_text.isascii() and port_text.isdigit()) or int(port_text) > MAX_PORT:
+    port = number_of_digits(port_text)
+    if port is None or port > MAX_PORT:
         raise AddressError(f"{port_text!r} in {address!r} is not a port up to {MAX_PORT}")
-    return HostPort(host, int(port_text))
+    return HostPort(host, port)
 
 
 def format_address(host: str, port: int) -> str:
--- a/src/orchidpath/forwarding/resumable_stream.py
+++ b/src/orchidpath/forwarding/resumable_stream.py
@@ -6,6 +6,7 @@
 input or output.
 """
 
+from orchidpath.common.digits import number_of_digits
 from orchidpath.common.errors import OrchidpathError
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -77,14 +78,14 @@
         for line in events.splitlines():
             if not line.startswith(_ID_FIELD):
                 continue
-            value = line.removeprefix(_ID_FIELD).strip()
-            if not value.isdigit():
+            event_id = number_of_digits(line.removeprefix(_ID_FIELD).strip())
+            if event_id is None:
                 self._is_complete = False
                 continue
-            if last_id is not None and int(value) <= last_id:
+            if last_id is not None and event_id <= last_id:
                 raise DiscontinuousStreamError(
-                    f"event id {int(value)} follows event id {last_id}, expected a greater id"
+                    f"event id {event_id} follows event id {last_id}, expected a greater id"
                 )
-            last_id = int(value)
+            last_id = event_id
         self._last_id = last_id
         self._has_passed = self._has_passed or bool(events)
--- a/src/orchidpath/router/proxy/protocol_mapping.py
+++ b/src/orchidpath/router/proxy/protocol_mapping.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from orchidpath.common.digits import number_of_digits
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.wire.messages import PromptShape
 
@@ -30,6 +31,10 @@
 """Headers that apply to a single connection (hop-by-hop); the router never forwards them."""
 
 
+MAX_HANDLE_CHARACTERS = 1_000
+"""Largest length of the handle of a KV cache."""
+
+
 class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
     """Names of the headers that the router reads or sets, in lower case."""
 
@@ -120,6 +125,12 @@
     handle: str
     version: int | None = None
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the handle can be sent in a header and in a path."""
+        is_text = self.handle.isascii() and self.handle.isprintable()
+        return is_text and " " not in self.handle and 0 < len(self.handle) <= MAX_HANDLE_CHARACTERS
+
 
 class MalformedRequestError(OrchidpathError):
     """A required header of a request is missing, or a header is malformed."""
@@ -268,7 +279,7 @@
 
 
 def _version(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    return number_of_digits(value) if value is not None else None
 
 
 def _load(value: bytes | None) -> WorkerLoad | None:
--- a/src/orchidpath/router/proxy/upstream.py
+++ b/src/orchidpath/router/proxy/upstream.py
@@ -13,8 +13,9 @@
 
 import h11
 
-from orchidpath.common.addresses import parse_address
+from orchidpath.common.addresses import AddressError, parse_address
 from orchidpath.common.clock import Clock
+from orchidpath.common.digits import number_of_digits
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.router.proxy.protocol_mapping import Header
 from orchidpath.router.proxy.proxy_messages import ResponseHead
@@ -136,13 +137,14 @@
                 "the connection closed before the first byte of the request was sent"
             )
         self.is_in_use = True
-        self._request = h11.Request(method=method, target=target, headers=list(headers))
         try:
+            self._request = h11.Request(method=method, target=target, headers=list(headers))
             content = self._http.send(self._request) or b""
             if body:
                 content += self._http.send(h11.Data(data=body)) or b""
             content += self._http.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
+            self.close()
             raise NoConnectionError(f"the request is not valid HTTP: {error}") from error
         self._transport.write(content)
 
@@ -356,7 +358,7 @@
                 )
         except BaseException as error:
             self._lost(address)
-            if isinstance(error, OSError):  # TimeoutError is an OSError
+            if isinstance(error, OSError | AddressError):  # TimeoutError is an OSError
                 message = f"no connection to {address}: {error or 'timed out'}"
                 raise NoConnectionError(message) from error
             raise
@@ -393,6 +395,8 @@
     """Return the idle time, in seconds, that a ``Keep-Alive`` header allows a connection."""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return min(max(int(number) - IDLE_MARGIN_SECONDS, 0.0), MAX_KEEP_ALIVE_SECONDS)
+        seconds = number_of_digits(number.strip())
+        if name.lower() == b"timeout" and seconds is not None:
+            longest = MAX_KEEP_ALIVE_SECONDS + IDLE_MARGIN_SECONDS
+            return max(min(seconds, longest) - IDLE_MARGIN_SECONDS, 0.0)
     return MAX_IDLE_SECONDS
--- a/src/orchidpath/router/proxy/worker_exchange.py
+++ b/src/orchidpath/router/proxy/worker_exchange.py
@@ -126,7 +126,7 @@
         result = None
         if matched.head.status == 200:
             result = self._environment.protocol_mapping.read_prefill_result(body)
-        if result is None:
+        if result is None or not result.is_usable:
             return events.PrefillRejected(
                 matched.head.status, matched.metadata.guarantees_not_executed
             )
--- a/src/orchidpath/state/configuration_checks/structure.py
+++ b/src/orchidpath/state/configuration_checks/structure.py
@@ -13,10 +13,11 @@
 
 import msgspec
 
+from orchidpath.common.digits import MAX_DIGITS
 from orchidpath.common.problems import Problem
 from orchidpath.common.typed_walk import walk
 from orchidpath.wire.configuration import Configuration
-from orchidpath.wire.integers import LARGE_INTEGER_PATTERN, MAX_DIGITS, EncodedInteger
+from orchidpath.wire.integers import LARGE_INTEGER_PATTERN, EncodedInteger
 
 _SHOWN_CHARACTERS = 40
 """Maximum number of characters of a value in a message."""
--- a/src/orchidpath/wire/announcements.py
+++ b/src/orchidpath/wire/announcements.py
@@ -4,7 +4,7 @@
 
 from orchidpath.common.errors import OrchidpathError
 from orchidpath.wire.backend import Announcement
-from orchidpath.wire.records import WorkerStatus
+from orchidpath.wire.records import WorkerRecord, WorkerStatus
 
 MAX_ID_CHARACTERS = 200
 """Largest length, in characters, of the identifier of an update, a worker or an incarnation."""
@@ -34,7 +34,24 @@
         announcement = _decoder.decode(raw)
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
         raise InvalidAnnouncementError(str(error)) from error
-    record = announcement.record
+    check_record(announcement.record)
+    if announcement.record.status is WorkerStatus.GONE:
+        raise InvalidAnnouncementError("record.status must be ready or draining")
+    if not 0 <= announcement.sequence <= MAX_SEQUENCE:
+        raise InvalidAnnouncementError(
+            f"sequence must be 0 to {MAX_SEQUENCE}, got {announcement.sequence}"
+        )
+    return announcement
+
+
+def check_record(record: WorkerRecord) -> None:
+    """Check the names and the URL in the record of a worker.
+
+    Raises
+    ------
+    InvalidAnnouncementError
+        A name or the URL does not have the documented form.
+    """
     for name in ("worker_id", "incarnation", "service"):
         if not is_identifier(getattr(record, name)):
             raise InvalidAnnouncementError(f"record.{name} must be {IDENTIFIER_FORM}")
@@ -42,13 +59,6 @@
         raise InvalidAnnouncementError(
             "record.url must be a printable URL that begins with http://"
         )
-    if record.status is WorkerStatus.GONE:
-        raise InvalidAnnouncementError("record.status must be ready or draining")
-    if not 0 <= announcement.sequence <= MAX_SEQUENCE:
-        raise InvalidAnnouncementError(
-            f"sequence must be 0 to {MAX_SEQUENCE}, got {announcement.sequence}"
-        )
-    return announcement
 
 
 IDENTIFIER_FORM = f"1 to {MAX_ID_CHARACTERS} printable characters"
--- a/src/orchidpath/wire/integers.py
+++ b/src/orchidpath/wire/integers.py
@@ -8,12 +8,11 @@
 
 import msgspec
 
+from orchidpath.common.digits import MAX_DIGITS
+
 MAX_BINARY_INTEGER = 2**64 - 1
 """Largest integer that msgpack represents."""
 
-MAX_DIGITS = 4_300
-"""Largest number of digits, which is also the largest that the JSON decoder accepts."""
-
 LARGE_INTEGER_PATTERN = r"^[1-9][0-9]{19,}\Z"
 """Decimal digits of an integer; every integer above `MAX_BINARY_INTEGER` has 20 or more."""
 
--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -15,6 +15,7 @@
     running,
     stock,
 )
+from yarl import URL
 
 from orchidpath.state import commands
 
@@ -302,3 +303,36 @@
         assert "50000 bytes" in (await response.json())["reason"]
         assert failed_controls(environment) == []
         assert (await environment.put_configuration(document(9), 2)).status == 200
+
+
+INVALID_HEARTBEATS: list[tuple[str, dict[str, Any]]] = [
+    ("address", {"address": "nowhere"}),
+    ("address", {"address": "worker.example:80"}),
+    ("address", {"address": "127.0.0.1:99999"}),
+    ("address", {"address": "127.0.0.1:" + "9" * 5000}),
+    ("service", {"service": ""}),
+    ("service", {"service": "s" * 201}),
+    ("stage", {"stage": "other"}),
+    ("seq", {"seq": "1"}),
+]
+
+
+@pytest.mark.parametrize(("field", "fields"), INVALID_HEARTBEATS)
+async def test_a_heartbeat_that_no_router_can_use_is_rejected_with_its_field(
+    tmp_path: Path, field: str, fields: dict[str, Any]
+) -> None:
+    """Guards against a worker that gets requests which fail inside the routers."""
+    async with running(tmp_path, machines=1) as environment:
+        worker = EmulatedWorker("s1", "stock-api")
+        worker.address = "127.0.0.1:9"
+        url = environment.control_url(0) + "/instances/"
+        async with aiohttp.ClientSession() as session:
+            invalid = {**worker.heartbeat(), **fields}
+            response = await session.put(url + "s1", json=invalid)
+            assert response.status == 400
+            assert field in (await response.json())["reason"]
+            for worker_id in ("%E2%98%83", "a%0D%0Ab", "w" * 201):
+                response = await session.put(
+                    URL(url + worker_id, encoded=True), json=worker.heartbeat()
+                )
+                assert response.status == 400
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -488,3 +488,49 @@
                     failed += 1
         monkeypatch.undo()
         assert await environment.request_until_served("/stock/x") == b"stock"
+
+
+@pytest.mark.parametrize(
+    "handle", ["", " ", "a b", "\u2603", "a\r\nX-Stage: prefill", "\x00", "h" * 5_000]
+)
+async def test_a_handle_that_fits_into_no_header_is_a_failed_prefill(
+    tmp_path: Path, handle: str
+) -> None:
+    """Guards against requests that end with a fault of the router for what a worker sent."""
+    prefill, decode = pair()
+
+    async def prefill_badly(worker: EmulatedWorker, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers["X-Request-Id"]
+        body = {"kv_handle": handle, "tokens": 10, "version": 1}
+        return web.json_response(body, headers={"X-Request-Id": request_id})
+
+    async with running(tmp_path, prefill, decode) as environment:
+        await environment.request_until_served("/advice/x", headers=MODEL)
+        prefill.answers.append(prefill_badly)
+        response, body = await environment.request("/advice/x", headers=MODEL)
+        assert response.status in {200, 503}
+        assert body is not None
+        assert await environment.request_until_served("/advice/x", headers=MODEL) == EVENTS
+
+
+async def test_numbers_of_any_length_in_an_answer_are_relayed(tmp_path: Path) -> None:
+    """Guards against answers that break off at a number of more digits than ``int`` converts."""
+    decode = EmulatedWorker("d", "wine-llm", "decode")
+    number = "9" * 5_000
+
+    async def answer_at_length(worker: EmulatedWorker, request: web.Request) -> web.StreamResponse:
+        headers = {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            SIGNATURE: "sig",
+            "X-Weight-Versions": number,
+            "X-Server-Load": f"{number},0,6",
+        }
+        return web.Response(body=f"id: {number}\ndata: word\n\n".encode(), headers=headers)
+
+    async with running(tmp_path, decode) as environment:
+        assert (await environment.put_configuration(resumable(3, attempts=1), 2)).status == 200
+        await environment.request_until_served("/advice/x")
+        decode.answers.append(answer_at_length)
+        response, body = await environment.request("/advice/x")
+        assert (response.status, body) == (200, f"id: {number}\ndata: word\n\n".encode())
+        assert response.headers["X-Weight-Versions"] == number
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -234,6 +234,8 @@
         (b"", MAX_IDLE_SECONDS),
         (b"\r\nKeep-Alive: timeout=10", 10.0 - IDLE_MARGIN_SECONDS),
         (b"\r\nKeep-Alive: timeout=600", MAX_KEEP_ALIVE_SECONDS),
+        (b"\r\nKeep-Alive: timeout=" + b"9" * 4_000, MAX_KEEP_ALIVE_SECONDS),
+        (b"\r\nKeep-Alive: timeout=" + b"9" * 5_000, MAX_IDLE_SECONDS),
         (b"\r\nKeep-Alive: timeout=soon", MAX_IDLE_SECONDS),
     ],
 )
@@ -305,3 +307,24 @@
     for received in late.received:
         assert len(received) < len(LONG_BODY)
         assert LONG_BODY.startswith(received)
+
+
+async def test_a_request_that_is_no_http_is_not_sent_and_its_connection_is_closed() -> None:
+    """Guards against connections that are never used again and count against the limit."""
+    async with worker(respond_with(OWN)) as address:
+        pool = UpstreamPool(monotonic_seconds)
+        for _ in range(3):
+            connection = await pool.connection(address, 1)
+            with pytest.raises(NoConnectionError):
+                connection.send(b"GET", b"/", [(b"host", b"w"), (b"x-kv", b"a\r\nb: c")], b"")
+            async with asyncio.timeout(WAIT_SECONDS):
+                while pool._open:
+                    await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("address", ["nowhere", "host:80", "127.0.0.1:99999", "127.0.0.1:"])
+async def test_a_malformed_address_has_no_connection(address: str) -> None:
+    pool = UpstreamPool(monotonic_seconds)
+    with pytest.raises(NoConnectionError):
+        await pool.connection(address, 0)
+    assert pool._open == {}
--- a/tests/wire/test_integers.py
+++ b/tests/wire/test_integers.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from orchidpath.common.digits import MAX_DIGITS
 from orchidpath.state.commands import (
     SubmitConfiguration,
     configuration_digest,
@@ -14,7 +15,6 @@
 from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.integers import (
     MAX_BINARY_INTEGER,
-    MAX_DIGITS,
     decode_integer,
     encode_integer,
 )
