Complete the requests in flight when SIGTERM is repeated

Callers saw: requests cut off without an answer when a router got a second SIGTERM during its drain, although most of its time was left.

Cause: a second stop signal of either kind cancelled the graceful shutdown. That is what a person at a terminal wants; a supervisor that repeats SIGTERM does not.

Change: SIGTERM may come any number of times. SIGINT during the shutdown ends the process at once, as before, after either signal.

--- a/src/orchidpath/cli/router.py
+++ b/src/orchidpath/cli/router.py
@@ -17,7 +17,7 @@
 def router(ctx: click.Context, settings_file: Path) -> None:
     """Run one router process, which needs no disk.
 
-    SIGTERM stops the process gracefully; a second SIGTERM stops it immediately. SIGHUP reloads
+    SIGTERM stops the process gracefully; a SIGINT during the shutdown ends it. SIGHUP reloads
     the settings file.
     """
     settings = load_settings(settings_file, RouterSettings)
--- a/src/orchidpath/common/daemon.py
+++ b/src/orchidpath/common/daemon.py
@@ -88,7 +88,7 @@
 ) -> int:
     """Run a daemon until SIGTERM or SIGINT stops it, or until it fails.
 
-    A second SIGTERM or SIGINT cancels the graceful shutdown.
+    A SIGINT during the graceful shutdown cancels it; a repeated SIGTERM does not.
 
     Parameters
     ----------
@@ -155,8 +155,8 @@
 
     def install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._on_stop_signal)
-        loop.add_signal_handler(signal.SIGINT, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._on_interrupt)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
 
     def remove_signal_handlers(self) -> None:
@@ -164,7 +164,12 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
 
-    def _on_stop_signal(self) -> None:
+    def _on_interrupt(self) -> None:
+        """Stop, or stop at once if the shutdown has begun.
+
+        SIGTERM never does the latter: a supervisor may repeat it, and the requests in flight must
+        still be completed.
+        """
         if self._stop_requested.is_set():
             self._hard_stop_requested.set()
         self._stop_requested.set()
