Start and stop undisturbed by SIGHUP

Callers saw: a program that got SIGHUP within some tenths of a second after its start ended with signal 1, and so did one that got it in the last moments of its shutdown.

Cause: SIGHUP has its default effect until the event loop has a handler for it, which is after all imports, and again once the handler is removed. A restart and a change of the settings may overlap.

Change: the programs ignore SIGHUP before they import anything large. Nothing is lost by that, as the settings are read afterwards. At the end the former handling returns, which is to ignore it.

--- a/src/orchidpath/cli/main.py
+++ b/src/orchidpath/cli/main.py
@@ -3,6 +3,7 @@
 import copy
 import importlib
 import importlib.util
+import signal
 import sys
 
 import click
@@ -27,6 +28,9 @@
 }
 """Module of each command; the module defines the command under the command's own name."""
 
+_DAEMONS = frozenset({"control", "router"})
+"""Commands whose process reads its settings again on SIGHUP."""
+
 _FORMER_NAMES = {"standin": "emulator"}
 """Current name of each renamed command; the former name still works but ``--help`` hides it."""
 
@@ -45,6 +49,10 @@
         if cmd_name not in self.list_commands(ctx):
             return None
         current_name = _FORMER_NAMES.get(cmd_name, cmd_name)
+        if current_name in _DAEMONS:
+            # SIGHUP would end the process until it has its own handler; the settings that it
+            # announces are read later in any case.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
         module = importlib.import_module(_COMMANDS[current_name])
         command = getattr(module, current_name)
         assert isinstance(command, click.Command)
--- a/src/orchidpath/common/daemon.py
+++ b/src/orchidpath/common/daemon.py
@@ -154,15 +154,18 @@
         self._reload_requested = asyncio.Event()
 
     def install_signal_handlers(self) -> None:
+        self._former_reload_handler = signal.getsignal(signal.SIGHUP)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._on_interrupt)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
 
     def remove_signal_handlers(self) -> None:
+        """Handle each signal as before; a process that ignored SIGHUP ignores it again."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
+        signal.signal(signal.SIGHUP, self._former_reload_handler)
 
     def _on_interrupt(self) -> None:
         """Stop, or stop at once if the shutdown has begun.
--- a/tests/common/test_daemon.py
+++ b/tests/common/test_daemon.py
@@ -131,3 +131,19 @@
     async with asyncio.timeout(BOUND_SECONDS):
         assert await serve(daemon, Loader()) == ExitCode.FAILED
     assert daemon.events == []
+
+
+async def test_sighup_is_handled_as_before_once_the_daemon_has_ended() -> None:
+    """Guards against a process that is ended by a change of its settings while it stops."""
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        daemon = RecordingDaemon()
+        run = asyncio.create_task(serve(daemon, Loader()))
+        async with asyncio.timeout(BOUND_SECONDS):
+            await daemon.started.wait()
+            send(signal.SIGTERM)
+            assert await run == ExitCode.OK
+        send(signal.SIGHUP)
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, former)
--- a/tests/compatibility/settings_read.py
+++ b/tests/compatibility/settings_read.py
@@ -10,6 +10,7 @@
 from http_samples import full_sample, plain_value, struct_info
 
 from configuration_format import Policies
+from control_program import POLICIES_FILE, load_policies
 from node_settings import (
     SETTINGS_VARIABLE,
     NodeSettings,
@@ -19,7 +20,6 @@
 )
 from orchidpath.common.settings import SEED_COUNT, ControlSettings, RouterSettings
 from orchidpath.common.settings_file import load_settings
-from run_control import POLICIES_FILE, load_policies
 
 ROOT = Path(__file__).parents[2]
 
@@ -121,7 +121,7 @@
         path.write_text(text)
         with patch.dict("os.environ", {SETTINGS_VARIABLE: str(path)}):
             node = load_node_settings()
-    with patch("run_control.POLICIES_FILE", ROOT / POLICIES_FILE):
+    with patch("control_program.POLICIES_FILE", ROOT / POLICIES_FILE):
         policies = load_policies(node)
     return {
         "text": text,
--- a/tests/compatibility/test_settings_corpus.py
+++ b/tests/compatibility/test_settings_corpus.py
@@ -12,7 +12,7 @@
     settings_read,
 )
 
-from run_control import POLICIES_FILE
+from control_program import POLICIES_FILE
 
 BEFORE = read_json("settings_read.json")
 
