Give a new learner its own time-out, whatever the age of the leader

No log line told that the fleet ran with two voters.

Cause: a learner without contact is removed after 60 s of silence, 3 s if another replica has its address. The silence of a learner that had never answered was counted from the start of the leadership. A leader older than that removed a new learner at the tick after it was added, before it had a connection to it and so before the learner could answer; the replica asked again and was removed again, for ever, and the lost voter was never replaced.

Change: the time-out of a learner starts when it becomes a learner at its address: on joining, on demotion, on a change of its address, and at the leader's start for one of an earlier leader. Contacts for promotion and for superseded voters are counted as before.

--- a/src/orchidpath/control/leadership/member_manager.py
+++ b/src/orchidpath/control/leadership/member_manager.py
@@ -64,6 +64,44 @@
         return self._now - max(self._last_contact(node_id), self._started_at)
 
 
+class _LearnerTerm(msgspec.Struct, frozen=True):
+    """Since when a replica has been a learner at an address, in monotonic seconds."""
+
+    address: str
+    since: float
+
+
+class _LearnerTerms:
+    """The learners of the membership, and since when each has been one at its address.
+
+    Parameters
+    ----------
+    started_at
+        Start of this leadership, which counts for learners of an earlier one.
+    """
+
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
+        self._terms: dict[str, _LearnerTerm] | None = None
+
+    def update(self, membership: Membership, now: float) -> None:
+        """Record the learners of a membership; called with each membership in turn."""
+        known = self._terms or {}
+        since = self._started_at if self._terms is None else now
+        self._terms = {}
+        for learner in membership.learners:
+            address = membership.addresses[learner]
+            term = known.get(learner)
+            if term is None or term.address != address:
+                term = _LearnerTerm(address, since)
+            self._terms[learner] = term
+
+    def seconds(self, learner: str, now: float) -> float:
+        """Return for how long a learner of the newest membership has been one."""
+        assert self._terms is not None
+        return now - self._terms[learner].since
+
+
 class MemberManager:
     """Chooses the next membership change.
 
@@ -79,6 +117,7 @@
         self._policy = policy
         self._started_at = now
         self._joining: dict[str, str] = {}
+        self._learner_terms = _LearnerTerms(now)
 
     def join_requested(self, node_id: str, address: str) -> None:
         """Record that a replica requests to join as a learner."""
@@ -113,11 +152,12 @@
             Node ids of replicas without a disk, which never vote.
         """
         silence = _Silence(leader_id, self._started_at, last_contact, now)
+        self._learner_terms.update(membership, now)
         return (
             self._add_learner(membership)
             or self._remove_surplus_voter(membership, leader_id, silence)
             or self._promote_learner(membership, standbys, silence)
-            or self._remove_silent_learner(membership, silence)
+            or self._remove_silent_learner(membership, silence, now)
         )
 
     def _add_learner(self, membership: Membership) -> Membership | None:
@@ -170,16 +210,23 @@
         ]
 
     def _remove_silent_learner(
-        self, membership: Membership, silence: _Silence
+        self, membership: Membership, silence: _Silence, now: float
     ) -> Membership | None:
-        """Remove a learner without contact for too long."""
+        """Remove a learner without contact for too long.
+
+        Its time-out starts when it becomes a learner. It can't answer earlier: the leader connects
+        to the address of a replica only once the replica is in the membership.
+        """
         replicas_by_address = Counter(
             membership.addresses[member] for member in membership.members()
         )
         for learner in membership.learners:
             is_shared = replicas_by_address[membership.addresses[learner]] > 1
             timeout_seconds = SUPERSEDED_REMOVAL_SECONDS if is_shared else LEARNER_REMOVAL_SECONDS
-            if silence.seconds(learner) > timeout_seconds:
+            silent_seconds = min(
+                silence.seconds(learner), self._learner_terms.seconds(learner, now)
+            )
+            if silent_seconds > timeout_seconds:
                 return _remove(membership, learner)
         return None
 
--- a/tests/control/test_member_manager.py
+++ b/tests/control/test_member_manager.py
@@ -1,10 +1,14 @@
 """The member manager keeps the number of voters, and promotes before it removes."""
 
+import math
 from collections.abc import Set
 
+import pytest
+
 from orchidpath.consensus.types import Membership
 from orchidpath.control.leadership.member_manager import (
     LEARNER_REMOVAL_SECONDS,
+    SUPERSEDED_REMOVAL_SECONDS,
     MemberManager,
     MemberPolicy,
 )
@@ -118,3 +122,101 @@
     restarted = Membership(("a", "b", "c"), ("d", "d2"), {**ADDRESSES, "d2": "d:1"})
     left = change(MemberManager(POLICY, 0.0), restarted, unreachable={"d"}, now=10.0)
     assert left.learners == ("d2",)
+
+
+class Fleet:
+    """A member manager whose changes take effect at once, and the replicas that answer it."""
+
+    def __init__(self, membership: Membership, started_at: float = 0.0) -> None:
+        self.manager = MemberManager(POLICY, started_at)
+        self.membership = membership
+        self.silent: set[str] = set()
+        self.last_contacts: dict[str, float] = {}
+        self.now = started_at
+
+    @property
+    def learners(self) -> tuple[str, ...]:
+        return tuple(self.membership.learners)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, with a tick and an answer of every other replica each half second."""
+        for _ in range(round(2 * seconds)):
+            self.now += 0.5
+            for member in self.membership.members():
+                if member not in self.silent:
+                    self.last_contacts[member] = self.now
+            self.tick()
+
+    def tick(self) -> None:
+        changed = self.manager.next_change(
+            "a", self.membership, lambda node: self.last_contacts.get(node, -math.inf), self.now
+        )
+        if changed is not None:
+            self.membership = changed
+
+
+AGES = [0.0, 10.0, LEARNER_REMOVAL_SECONDS, 2 * LEARNER_REMOVAL_SECONDS, 7200.0]
+"""Seconds for which a leader has led."""
+
+
+@pytest.mark.parametrize("age", AGES)
+@pytest.mark.parametrize("address", ["e:1", "c:1"])
+def test_a_new_learner_has_its_whole_timeout_whatever_the_age_of_the_leader(
+    age: float, address: str
+) -> None:
+    """Guards against a lost voter that is never replaced: its successor was removed at once."""
+    fleet = Fleet(Membership(("a", "b", "c"), (), ADDRESSES))
+    fleet.run(age)
+    fleet.silent = {"c", "e"}
+    fleet.run(POLICY.replace_after_seconds + 1)
+    fleet.manager.join_requested("e", address)
+    fleet.tick()
+    timeout = SUPERSEDED_REMOVAL_SECONDS if address == "c:1" else LEARNER_REMOVAL_SECONDS
+    fleet.run(timeout - 0.5)
+    assert fleet.learners == ("e",)
+    fleet.silent = {"c"}
+    fleet.run(2.0)
+    assert set(fleet.membership.voters) == {"a", "b", "e"}
+
+
+@pytest.mark.parametrize("age", AGES)
+def test_a_demoted_voter_has_its_whole_timeout_as_a_learner(age: float) -> None:
+    grown = Membership(("a", "b", "c", "d"), (), ADDRESSES)
+    fleet = Fleet(Membership(("a", "b", "c"), (), ADDRESSES))
+    fleet.run(age)
+    fleet.membership, fleet.last_contacts["d"] = grown, fleet.now
+    fleet.tick()
+    assert fleet.learners == ("d",)
+    fleet.silent = {"d"}
+    fleet.run(LEARNER_REMOVAL_SECONDS - 0.5)
+    assert fleet.learners == ("d",)
+    fleet.run(1.5)
+    assert not fleet.learners
+
+
+@pytest.mark.parametrize("age", AGES)
+def test_a_learner_with_another_address_has_its_whole_timeout_there(age: float) -> None:
+    fleet = Fleet(COMPLETE)
+    fleet.silent = {"d"}
+    fleet.run(min(age, LEARNER_REMOVAL_SECONDS - 1.0))
+    fleet.silent = set()
+    fleet.run(max(age - LEARNER_REMOVAL_SECONDS, 1.0))
+    fleet.silent = {"d"}
+    fleet.run(LEARNER_REMOVAL_SECONDS - 1.0)
+    fleet.manager.join_requested("d", "d:2")
+    fleet.run(LEARNER_REMOVAL_SECONDS - 1.0)
+    assert fleet.learners == ("d",)
+    fleet.run(3.0)
+    assert not fleet.learners
+
+
+@pytest.mark.parametrize("started_at", [0.0, 5000.0])
+def test_a_learner_of_an_earlier_leader_has_its_whole_timeout_from_the_new_leaders_start(
+    started_at: float,
+) -> None:
+    fleet = Fleet(COMPLETE, started_at)
+    fleet.silent = {"d"}
+    fleet.run(LEARNER_REMOVAL_SECONDS)
+    assert fleet.learners == ("d",)
+    fleet.run(1.0)
+    assert not fleet.learners
