--- a/tests/common/test_daemon.py
+++ b/tests/common/test_daemon.py
@@ -94,7 +94,7 @@
             # The event loop handles the signal in one of its next turns.
             for _ in range(20):
                 await asyncio.sleep(0)
-        assert not run.done()
+            assert not run.done()
         daemon.hold_stop.set()
         assert await run == ExitCode.OK
 
