Fuzz test of announcements: compare fields by their encoded names

The test read the field 'held' as an attribute; the attribute is named cordoned, so any example with a boolean for that field failed, whatever the code did. The test now compares the decoded record by encoded names, which checks the same and that field too.

--- a/tests/control/test_operator_bodies_fuzz.py
+++ b/tests/control/test_operator_bodies_fuzz.py
@@ -74,7 +74,7 @@
         body = decode_announcement(content)
     except MalformedRequestError:
         return
-    assert msgspec.to_builtins(getattr(body.record, field)) in (
+    assert msgspec.to_builtins(body.record)[field] in (
         value,
         tuple(value or ()) if isinstance(value, list) else value,
     )
