Show operators that voters stay missing, and learners that are removed

Cause: a fleet with two of three voters serves as always; nothing showed that review/1's lost voter was never replaced, nor that its successor joined and left again.

Change: the leader counts the voters that are missing or lost (`orchidpath_voters_missing`), and logs `voters_missing` once that has lasted 15 s, `voters_complete` at its end. A learner that is removed for its silence is logged (`learner_removed`) and counted (`orchidpath_learners_removed_total`).

--- a/src/orchidpath/control/leadership/member_manager.py
+++ b/src/orchidpath/control/leadership/member_manager.py
@@ -160,6 +160,24 @@
             or self._remove_silent_learner(membership, silence, now)
         )
 
+    def missing_voters(
+        self,
+        leader_id: str,
+        membership: Membership,
+        last_contact: Callable[[str], float],
+        now: float,
+    ) -> int:
+        """Return how many voters the fleet lacks: those not in the membership, and lost ones.
+
+        Parameters
+        ----------
+        leader_id, membership, last_contact, now
+            As for `next_change`.
+        """
+        silence = _Silence(leader_id, self._started_at, last_contact, now)
+        present = len(membership.voters) - len(self._lost_voters(membership, silence))
+        return max(self._policy.target_voters - present, 0)
+
     def _add_learner(self, membership: Membership) -> Membership | None:
         for node_id, address in list(self._joining.items()):
             del self._joining[node_id]
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -26,6 +26,7 @@
 from orchidpath.control.leadership.member_manager import MemberPolicy
 from orchidpath.control.replica.control_effects import (
     ControlEffect,
+    LearnerRemoved,
     PlanActionAnswered,
     ProposalDropped,
     ReadFailed,
@@ -38,6 +39,7 @@
 )
 from orchidpath.control.replica.control_replica import ControlReplica
 from orchidpath.control.replica.replica_loop import ReplicaLoop
+from orchidpath.control.voter_watch import VoterWatch
 from orchidpath.control.worker_commands import WorkerCommandFormat, WorkerCommandSender
 from orchidpath.wire.backend import WorkerCommand, WorkerCommandReply
 from orchidpath.wire.connection import Connection
@@ -110,6 +112,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.metrics = Metrics()
         self._sync_seconds = self.metrics.latency("sync_seconds", "Time of one sync to disk")
+        self._voter_watch = VoterWatch(self.metrics, clock)
 
     @property
     def drain_seconds(self) -> float:
@@ -193,6 +196,7 @@
             asyncio.create_task(self._run_replica()),
             asyncio.create_task(self._joiner.run_forever()),
             asyncio.create_task(self._update_links()),
+            asyncio.create_task(self._voter_watch.run_forever(lambda: self._loop.replica)),
         ]
         if self._faults is not None:
             self._tasks.append(watch_fault_file(self._settings.fault_file, self._faults))
@@ -314,6 +318,8 @@
                 self._logger.error(
                     "proposal_dropped", command=effect.command_type, reason=effect.reason
                 )
+            case LearnerRemoved():
+                self._voter_watch.record_learner_removed(effect.node_id)
             case LeadershipChanged():
                 self._logger.info(
                     "leadership_changed",
--- a/src/orchidpath/control/replica/control_effects.py
+++ b/src/orchidpath/control/replica/control_effects.py
@@ -80,6 +80,12 @@
     reason: str
 
 
+class LearnerRemoved(msgspec.Struct, frozen=True):
+    """The leader has proposed to remove a learner without contact."""
+
+    node_id: str
+
+
 PersistEffect = PersistHardState | PersistEntries | PersistSnapshot
 
 ControlEffect = (
@@ -94,4 +100,5 @@
     | PlanActionAnswered
     | SendWorkerCommand
     | ProposalDropped
+    | LearnerRemoved
 )
--- a/src/orchidpath/control/replica/control_replica.py
+++ b/src/orchidpath/control/replica/control_replica.py
@@ -199,6 +199,10 @@
         """Return the circuit of every worker for operators; empty unless this replica leads."""
         return self.duties.decisions.worker_circuits(now) if self.duties is not None else ()
 
+    def missing_voters(self, now: float) -> int:
+        """Return how many voters are missing or lost; 0 on a replica that does not lead."""
+        return self._memberships.missing_voters(now) if self.is_leader else 0
+
     def control_members(self) -> ControlMembers:
         """Return the control members and the leader in the newest membership received here."""
         return self._memberships.control_members()
--- a/src/orchidpath/control/replica/membership_changes.py
+++ b/src/orchidpath/control/replica/membership_changes.py
@@ -3,6 +3,7 @@
 from orchidpath.consensus.errors import MembershipChangeError, NotLeaderError
 from orchidpath.consensus.types import Membership
 from orchidpath.control.leadership.member_manager import MemberManager, MemberPolicy
+from orchidpath.control.replica.control_effects import LearnerRemoved
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.control.replica.replicated_log import ReplicatedLog
 from orchidpath.state.commands import RegisterControlMember, RemoveControlMember
@@ -80,10 +81,21 @@
         if change is None:
             self._unregister_removed()
             return
+        learners = self._log.raft.membership.learners
         try:
             self._log.propose_membership(change, now)
         except (MembershipChangeError, NotLeaderError):
             return  # The change is not safe yet; a later tick proposes it again.
+        for node_id in learners:
+            if node_id not in change.members():
+                self._output.emit(LearnerRemoved(node_id))
+
+    def missing_voters(self, now: float) -> int:
+        """Return how many voters are missing or lost; for a leader only."""
+        raft = self._log.raft
+        return self._manager.missing_voters(
+            self._member.node_id, raft.membership, raft.last_contact, now
+        )
 
     def _standbys(self) -> frozenset[str]:
         """Return the node ids of the replicas without a disk, which never vote."""
--- a/tests/control/test_control_replica.py
+++ b/tests/control/test_control_replica.py
@@ -9,8 +9,9 @@
 
 from orchidpath.consensus.raft_core import RaftCore
 from orchidpath.consensus.types import Membership, RaftSettings, RestoredState
-from orchidpath.control.leadership.member_manager import MemberPolicy
+from orchidpath.control.leadership.member_manager import LEARNER_REMOVAL_SECONDS, MemberPolicy
 from orchidpath.control.replica.control_effects import (
+    LearnerRemoved,
     ProposalDropped,
     SendToConnected,
     SendToNode,
@@ -24,6 +25,7 @@
     DecisionReply,
     DecisionRequest,
     ForwardedAnnouncements,
+    JoinRequest,
     Rejection,
     UpdateStatus,
 )
@@ -134,3 +136,19 @@
     [dropped] = [effect for effect in effects if isinstance(effect, ProposalDropped)]
     assert dropped.command_type == "WorkerChanged"
     assert [worker.worker_id for worker in replica.state.workers()] == ["w2"]
+
+
+def test_a_removed_learner_is_reported() -> None:
+    """Guards against a learner that joins and leaves again and again, without a trace."""
+    replica = leading_replica()
+    learner = ControlMember(node_id="d", address="d:1")
+    replica.receive("d", JoinRequest(member=learner), NOW)
+    removed: list[LearnerRemoved] = []
+    steps = round((LEARNER_REMOVAL_SECONDS + 2.0) / TICK)
+    for step in range(1, steps):
+        effects = replica.tick(NOW + step * TICK)
+        removed += [effect for effect in effects if isinstance(effect, LearnerRemoved)]
+        if step * TICK < LEARNER_REMOVAL_SECONDS:
+            assert removed == []
+    assert removed == [LearnerRemoved("d")]
+    assert replica.missing_voters(NOW) == MemberPolicy().target_voters - 1
--- a/tests/control/test_member_manager.py
+++ b/tests/control/test_member_manager.py
@@ -147,6 +147,11 @@
                     self.last_contacts[member] = self.now
             self.tick()
 
+    def missing_voters(self) -> int:
+        return self.manager.missing_voters(
+            "a", self.membership, lambda node: self.last_contacts.get(node, -math.inf), self.now
+        )
+
     def tick(self) -> None:
         changed = self.manager.next_change(
             "a", self.membership, lambda node: self.last_contacts.get(node, -math.inf), self.now
@@ -220,3 +225,22 @@
     assert fleet.learners == ("d",)
     fleet.run(1.0)
     assert not fleet.learners
+
+
+@pytest.mark.parametrize("age", [POLICY.replace_after_seconds + 1.0, 7200.0])
+def test_missing_and_lost_voters_are_counted(age: float) -> None:
+    fleet = Fleet(Membership(("a", "b", "c"), (), ADDRESSES))
+    fleet.run(age)
+    assert fleet.missing_voters() == 0
+    fleet.silent = {"c"}
+    fleet.run(POLICY.replace_after_seconds)
+    assert fleet.missing_voters() == 0
+    fleet.run(1.0)
+    assert fleet.missing_voters() == 1
+    fleet.membership = Membership(("a", "b"), (), ADDRESSES)
+    assert fleet.missing_voters() == 1
+    fleet.silent = set()
+    fleet.membership = Membership(("a", "b", "c", "d"), (), ADDRESSES)
+    fleet.last_contacts["d"] = fleet.now
+    fleet.run(0.5)
+    assert fleet.missing_voters() == 0
