Soak of real processes: configurations, signals and restarts that overlap

Routers and control processes of the deployed programs run as real processes, workers and clients beside them.

--- /dev/null
+++ b/tests/soak/soak_processes.py
@@ -0,0 +1,189 @@
+"""Machines of a soak: the deployed router and control process of each, as real processes."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parents[2]
+
+ROUTER = "run_router.py"
+CONTROL = "run_control.py"
+PROGRAMS = (CONTROL, ROUTER)
+
+FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT = 8144, 8140, 8146, 7660
+"""The same on every machine, as on the platform, and below the range of ephemeral ports."""
+
+DISK_MACHINES = 3
+"""Number of machines with a disk, whose control processes may vote."""
+
+GRACE_SECONDS = 8.0
+"""Time from SIGTERM until the platform kills a process."""
+
+
+class OwnEnd(NamedTuple):
+    """A process that ended although nothing had stopped it."""
+
+    machine: int
+    program: str
+    exit_code: int
+
+
+class Machine:
+    """One machine: its address, its settings file, and its two processes.
+
+    ``disturbed`` lists the times at which its router was killed, frozen or thawed, in monotonic
+    seconds; what its callers see around them is not judged.
+    """
+
+    def __init__(self, number: int, host: str, seeds: Sequence[str], folder: Path) -> None:
+        self.number = number
+        self.host = host
+        self.disturbed: list[float] = []
+        self._seeds = seeds
+        self._folder = folder / str(number)
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._expected_to_end: set[str] = set()
+        self._started: set[str] = set()
+        (self._folder / "data").mkdir(parents=True)
+
+    @property
+    def has_disk(self) -> bool:
+        return self.number < DISK_MACHINES
+
+    def start(self, program: str) -> None:
+        """Start a program, or start it again."""
+        is_first = program not in self._started
+        self._started.add(program)
+        self._expected_to_end.discard(program)
+        settings = self._folder / f"{program}.json"
+        settings.write_text(json.dumps(self._settings(is_first=is_first)))
+        environment = {
+            **{name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ},
+            "PYTHONPATH": str(ROOT / "src"),
+            "ORCHIDPATH_SETTINGS": str(settings),
+        }
+        with (self._folder / "log").open("ab") as log:
+            self._processes[program] = subprocess.Popen(
+                [sys.executable, f"platform/{program}"],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def is_running(self, program: str) -> bool:
+        process = self._processes.get(program)
+        return process is not None and process.poll() is None
+
+    def send_signal(self, program: str, number: signal.Signals) -> None:
+        """Send a signal to a program that runs; note that it is expected to end if it is.
+
+        SIGHUP is not sent while the Python interpreter itself starts: it ends the interpreter
+        before the first line of a program can prevent that.
+        """
+        if not self.is_running(program):
+            return
+        process_id = self._processes[program].pid
+        if number is signal.SIGHUP and not _has_disposition(process_id, number):
+            return
+        if number in {signal.SIGTERM, signal.SIGKILL}:
+            self._expected_to_end.add(program)
+        self._processes[program].send_signal(number)
+
+    async def wait_until_ended(self, program: str, seconds: float) -> bool:
+        """Wait for a program to end; return False if it still runs after this time."""
+        deadline = asyncio.get_running_loop().time() + seconds
+        while self.is_running(program):
+            if asyncio.get_running_loop().time() > deadline:
+                return False
+            await asyncio.sleep(0.05)
+        return True
+
+    def own_ends(self) -> list[OwnEnd]:
+        """Return the programs that have ended although they were not told to."""
+        return [
+            OwnEnd(self.number, program, process.returncode)
+            for program, process in self._processes.items()
+            if process.poll() is not None and program not in self._expected_to_end
+        ]
+
+    def kill_all(self) -> None:
+        """End both processes at once, at the end of the run."""
+        for program, process in self._processes.items():
+            if process.poll() is None:
+                self._expected_to_end.add(program)
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+    def log_lines(self) -> list[str]:
+        """Return the lines that both programs have logged."""
+        log = self._folder / "log"
+        return log.read_text(errors="replace").splitlines() if log.exists() else []
+
+    def _settings(self, *, is_first: bool) -> dict[str, object]:
+        return {
+            "node_name": f"front-z{self.number % 3}-{self.number}",
+            "ip": self.host,
+            "zone": f"z{self.number % 3}",
+            "listen": {
+                "front": f"{self.host}:{FRONT_PORT}",
+                "ready": f"{self.host}:{READY_PORT}",
+                "control": f"{self.host}:{CONTROL_PORT}",
+            },
+            "internal_ports": [WIRE_PORT, WIRE_PORT + 15],
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self._seeds],
+            "bootstrap": is_first,
+            "data_dir": str(self._folder / "data") if self.has_disk else None,
+            "heartbeat_ms": 1200,
+            "bounds": {"grace_s": GRACE_SECONDS, "retry_budget_ratio": 0.2, "retry_slack": 62},
+            "fault_tolerance": {"machines": 1},
+        }
+
+
+def _has_disposition(process_id: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or handles a signal."""
+    try:
+        status = Path(f"/proc/{process_id}/status").read_text()
+    except OSError:
+        return False
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    mask = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(mask & 1 << number - 1)
+
+
+def create_machines(count: int, folder: Path) -> list[Machine]:
+    """Return machines with loopback addresses on which the ports are free."""
+    hosts = _free_hosts(count)
+    return [
+        Machine(number, host, hosts[:DISK_MACHINES], folder) for number, host in enumerate(hosts)
+    ]
+
+
+def _free_hosts(count: int) -> list[str]:
+    # The addresses do not depend on the seed, so that runs of one seed can overlap.
+    source = random.SystemRandom()
+    while True:
+        stem = f"127.{source.randint(80, 250)}.{source.randint(1, 250)}"
+        hosts = [f"{stem}.{number + 1}" for number in range(count)]
+        if all(_is_free(host) for host in hosts):
+            return hosts
+
+
+def _is_free(host: str) -> bool:
+    for port in (FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT, WIRE_PORT + 1):
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
+    return True
