Simulate a machine that is replaced late, and let older scenarios begin late

Scenario machine_replaced_late: the leader has led for 61 to 150 s, in one seed of a hundred for two hours; a voter's machine is lost for good, an empty one comes at a new address, and 4 s after its start the disk of an older voter is lost.

The scenarios that empty or restart machines begin late in one seed of five; that one runs with the tests. The new scenario is listed beside the corpus of commands.

--- a/src/orchidpath/simulation/control_node.py
+++ b/src/orchidpath/simulation/control_node.py
@@ -23,6 +23,7 @@
 from orchidpath.control.replica.control_replica import ControlReplica
 from orchidpath.control.replica.replica_loop import is_record, merge_records
 from orchidpath.simulation.environment import SimulatedEnvironment, SimulatedProcess
+from orchidpath.simulation.member_links import MemberLinks
 from orchidpath.state.commands import SubmitConfiguration
 from orchidpath.wire.backend import WorkerCommand, WorkerCommandReply
 from orchidpath.wire.messages import (
@@ -76,6 +77,7 @@
         self.files = SimulatedFiles()
         self.core: ControlReplica | None = None
         self.sync_seconds = 0.0
+        self.links: MemberLinks | None = None
         self._seeds = seeds
         self._raft_guards = raft_guards
         self._confirmation_guards = confirmation_guards
@@ -251,6 +253,7 @@
         except StorageError:
             self.kill()
             return
+        self._update_links()
         for effect in effects:
             if not is_record(effect):
                 self._execute(effect)
@@ -272,10 +275,7 @@
     def _execute(self, effect: ControlEffect) -> None:
         match effect:
             case SendToMember():
-                # A new learner has no addresses of members yet; the node id of the sender contains
-                # the address to reply to.
-                address = effect.address or effect.node_id.partition(".")[0]
-                self.send(address, effect.message, effect.node_id)
+                self._send_to_member(effect)
             case SendToNode():
                 address = effect.node_id.partition(".")[0]
                 self.send(address, effect.message, effect.node_id)
@@ -288,6 +288,31 @@
             case _:
                 pass
 
+    def _update_links(self) -> None:
+        """Connect to the members, if the scenario models the time that this takes."""
+        if self.links is not None and self.core is not None:
+            self.links.set_addresses(set(self.core.raft.membership.addresses.values()))
+
+    def _send_to_member(self, effect: SendToMember) -> None:
+        """Send over the link to a member, or else over a connection that it has opened.
+
+        A new learner has no addresses of members yet, so only the latter is possible; the node id
+        of the member contains the address to reply to.
+        """
+        address = effect.address or effect.node_id.partition(".")[0]
+        has_own_link = effect.address and self.links is not None and self.links.is_up(address)
+        if has_own_link or self._is_connected_from(address):
+            self.send(address, effect.message, effect.node_id)
+
+    def _is_connected_from(self, address: str) -> bool:
+        """Return whether another process has connected to this one; true if not modelled."""
+        if self.links is None:
+            return True
+        other = self.environment.processes.get(address)
+        if not isinstance(other, ControlNode) or other.links is None:
+            return False
+        return other.links.is_up(self.address)
+
     def _schedule_tick(self) -> None:
         assert self.core is not None
         delay_seconds = max(0.0, self.core.next_deadline(self.now) - self.now) + 1e-6
@@ -316,4 +341,6 @@
             return
         for member in answer.members:
             if member.node_id == answer.leader_id:
+                if self.links is not None:
+                    self.links.join_through(member.address)
                 self.send(member.address, JoinRequest(member=core.member))
--- a/src/orchidpath/simulation/fault_driver.py
+++ b/src/orchidpath/simulation/fault_driver.py
@@ -20,6 +20,12 @@
 """A voter that lost its disk is replaced within about this time."""
 
 
+NEW_ADDRESS = "c-new"
+"""Address of a machine that replaces another one."""
+CATCH_UP_SECONDS = 4.0
+"""A machine that was added counts as lost for this long after its start."""
+
+
 class FaultDriver:
     """Injects the faults of a scenario into a simulated fleet.
 
@@ -57,6 +63,7 @@
             Scenario.CONTROL_LOST: [],
             Scenario.DISK_LOSS: [self._lose_disk],
             Scenario.SECOND_LOSS: [],
+            Scenario.MACHINE_REPLACED_LATE: [],
             Scenario.DISK_LOST_IN_POWER_FAILURE: [],
             Scenario.TWO_DISKS_LOST_IN_POWER_FAILURE: [],
             Scenario.CONTROL_HALVED: [self._partition_control_in_halves],
@@ -96,6 +103,7 @@
             Scenario.LONG_FREEZE: [(2.0, self._freeze_leader_long)],
             Scenario.CONTROL_LOST: [(3.0, self._kill_all_controls)],
             Scenario.SECOND_LOSS: [(3.0, self._lose_disk_twice)],
+            Scenario.MACHINE_REPLACED_LATE: [(3.0, self._replace_machine)],
             Scenario.RESTARTS: [(5.0, self._restart_in_turn), (22.0, self._restart_at_once)],
             Scenario.WITNESSES_RESTARTED: [(2.0, self._partition_seed_routers)],
             Scenario.ROUTERS_UNHEARD: [(2.0, self._partition_routers_from_control)],
@@ -263,6 +271,32 @@
         self.second_losses += 1
         self._environment.schedule(1.0, second.start)
 
+    def _replace_machine(self) -> None:
+        """Replace a machine by an empty one at a new address, and then erase another disk.
+
+        The lost voter is not the leader, so that the leader keeps its age. The second disk is lost
+        once the successor has had the time that it is allowed for catching up, whether or not it
+        votes by then.
+        """
+        leader = self._fleet.leader()
+        if leader is None or not self._is_fully_replicated(leader):
+            self._environment.schedule(0.1, self._replace_machine)
+            return
+        lost = self._random.choice(self._voters_except(excluded=leader))
+        successor = self._fleet.replace_control(lost, NEW_ADDRESS)
+        start_seconds = self._random.uniform(0.5, 2.0)
+        self._environment.schedule(start_seconds, successor.start)
+        self._environment.schedule(start_seconds + CATCH_UP_SECONDS, self._lose_disk_of_a_voter)
+
+    def _lose_disk_of_a_voter(self) -> None:
+        """Erase the disk of one of the voters that were there from the beginning."""
+        control = self._random.choice(
+            [control for control in self._fleet.controls if control.address != NEW_ADDRESS]
+        )
+        control.lose_disk()
+        self.second_losses += 1
+        self._environment.schedule(1.0, control.start)
+
     def _lose_disk_in_power_failure(self) -> None:
         """Erase one disk while every process loses power and another voter lags behind.
 
--- a/src/orchidpath/simulation/fleet_simulation.py
+++ b/src/orchidpath/simulation/fleet_simulation.py
@@ -14,6 +14,7 @@
 from orchidpath.simulation.control_node import ControlNode
 from orchidpath.simulation.environment import NetworkFaults, SimulatedEnvironment
 from orchidpath.simulation.fleet_checks import FleetHistory, InvariantError
+from orchidpath.simulation.member_links import MemberLinks
 from orchidpath.simulation.operators import Operators
 from orchidpath.simulation.requests.path_guards import PathGuard
 from orchidpath.simulation.router_node import RouterNode
@@ -73,17 +74,9 @@
         control_names = [f"c{number}" for number in range(shape.controls)]
         router_names = [f"r{number}" for number in range(shape.routers)]
         seeds = [control_names[0], router_names[0], router_names[-1]]
-        self.controls = [
-            ControlNode(
-                self.environment,
-                name,
-                [*seeds, *control_names],
-                disabled.raft,
-                disabled.confirmation,
-                shape.voters,
-            )
-            for name in control_names
-        ]
+        self._control_seeds = [*seeds, *control_names]
+        self._disabled = disabled
+        self.controls = [self._make_control(name) for name in control_names]
         self.routers = [
             self.make_router(name, f"z{number % shape.zones}", seeds, disabled)
             for number, name in enumerate(router_names)
@@ -91,11 +84,44 @@
         self.workers: list[WorkerNode] = []
         self.make_workers(shape)
         self.operators = Operators(self.environment, self.controls, self.history)
-        for control in self.controls:
-            control.after_turn = self._after_control_turn
         for router in self.routers:
             router.on_observed = self._router_observed
 
+    def replace_control(self, lost: ControlNode, address: str) -> ControlNode:
+        """Lose a machine for good, and return an empty one at a new address, still to be started.
+
+        Parameters
+        ----------
+        lost
+            The control process that is lost with its disk.
+        address
+            Address of its successor.
+        """
+        lost.kill()
+        self.controls.remove(lost)
+        successor = self._make_control(address)
+        if lost.links is not None:
+            successor.links = MemberLinks(self.environment)
+        self.controls.append(successor)
+        return successor
+
+    def model_links(self) -> None:
+        """Let control processes reach new members only once they have connected to them."""
+        for control in self.controls:
+            control.links = MemberLinks(self.environment)
+
+    def _make_control(self, name: str) -> ControlNode:
+        control = ControlNode(
+            self.environment,
+            name,
+            self._control_seeds,
+            self._disabled.raft,
+            self._disabled.confirmation,
+            self.shape.voters,
+        )
+        control.after_turn = self._after_control_turn
+        return control
+
     def prepare(self, disabled: DisabledGuards) -> None:
         """Create the objects that the processes share, before any process is created.
 
--- a/src/orchidpath/simulation/scenario.py
+++ b/src/orchidpath/simulation/scenario.py
@@ -14,6 +14,7 @@
     CONTROL_LOST = "control_lost"
     DISK_LOSS = "disk_loss"
     SECOND_LOSS = "second_loss"
+    MACHINE_REPLACED_LATE = "machine_replaced_late"
     DISK_LOST_IN_POWER_FAILURE = "disk_lost_in_power_cut"
     TWO_DISKS_LOST_IN_POWER_FAILURE = "two_disks_lost_in_power_cut"
     CONTROL_HALVED = "control_halved"
--- a/src/orchidpath/simulation/scenarios.py
+++ b/src/orchidpath/simulation/scenarios.py
@@ -23,6 +23,27 @@
 from orchidpath.simulation.scenario import Scenario
 
 FAULT_TIME_SECONDS = 40.0
+
+LEADER_AGES_SECONDS = (61.0, 150.0)
+"""Range of the age of the leader when a machine is replaced late: above every time-out."""
+
+LONG_LEADER_AGE_SECONDS = 7200.0
+"""The age in one seed of `SEEDS_PER_LONG_AGE`."""
+
+SEEDS_PER_LONG_AGE = 100
+
+ALSO_PLAYED_LATE = frozenset(
+    {
+        Scenario.DISK_LOSS,
+        Scenario.SECOND_LOSS,
+        Scenario.DISK_LOST_IN_POWER_FAILURE,
+        Scenario.TWO_DISKS_LOST_IN_POWER_FAILURE,
+        Scenario.RESTARTS,
+    }
+)
+"""Scenarios that empty or restart machines: one seed of `SEEDS_PER_LATE_RUN` begins late."""
+
+SEEDS_PER_LATE_RUN = 5
 ORDER_PERIOD_SECONDS = 1.0
 WORKER_CHANGE_PERIOD_SECONDS = 2.0
 
@@ -81,6 +102,8 @@
     shape = VINBRUG if seed % 2 == 0 else AGENCY
     if scenario is Scenario.TWO_DISKS_LOST_IN_POWER_FAILURE:
         shape = FIVE_VOTERS
+    if scenario is Scenario.MACHINE_REPLACED_LATE:
+        shape = AGENCY  # without a standby, only the new machine can replace the lost voter
     guards = disabled or DisabledGuards()
     has_requests = scenario in REQUESTS_PER_SECOND
     fleet = (RequestFleet if has_requests else FleetSimulation)(seed, shape, guards)
@@ -89,7 +112,7 @@
         if isinstance(fleet, RequestFleet):
             _run_with_requests(fleet, scenario)
         else:
-            _run(fleet, scenario)
+            _run(fleet, scenario, seed)
     except (InvariantError, ProtocolViolationError) as error:
         violation = f"{type(error).__name__} at {fleet.environment.time:.3f} s: {error}"
     leader = fleet.leader()
@@ -107,9 +130,14 @@
     )
 
 
-def _run(fleet: FleetSimulation, scenario: Scenario) -> None:
+def _run(fleet: FleetSimulation, scenario: Scenario, seed: int) -> None:
     environment = fleet.environment
     fleet.start()
+    if scenario is Scenario.MACHINE_REPLACED_LATE:
+        fleet.model_links()
+        environment.run_until(environment.time + _leader_age_seconds(fleet, seed))
+    if scenario in ALSO_PLAYED_LATE and seed % SEEDS_PER_LATE_RUN == SEEDS_PER_LATE_RUN - 1:
+        environment.run_until(environment.time + environment.random.uniform(*LEADER_AGES_SECONDS))
     driver = FaultDriver(fleet)
     driver.begin(scenario)
     orders = FaultPeriod(fleet)
@@ -121,7 +149,8 @@
     fleet.heal()
     environment.run_until(environment.time + RECOVERY_SECONDS)
     fleet.check_recovered()
-    if scenario is Scenario.SECOND_LOSS and driver.second_losses == 0:
+    two_losses = {Scenario.SECOND_LOSS, Scenario.MACHINE_REPLACED_LATE}
+    if scenario in two_losses and driver.second_losses == 0:
         raise InvariantError(
             "the voter that lost its disk was not replaced, so no second disk was lost"
         )
@@ -131,6 +160,12 @@
         )
 
 
+def _leader_age_seconds(fleet: FleetSimulation, seed: int) -> float:
+    if seed % SEEDS_PER_LONG_AGE == SEEDS_PER_LONG_AGE - 1:
+        return LONG_LEADER_AGE_SECONDS
+    return fleet.environment.random.uniform(*LEADER_AGES_SECONDS)
+
+
 def _run_with_requests(fleet: RequestFleet, scenario: Scenario) -> None:
     environment = fleet.environment
     fleet.start()
--- a/tests/compatibility/test_commands_corpus.py
+++ b/tests/compatibility/test_commands_corpus.py
@@ -1,5 +1,7 @@
 """Tests that the commands have the names, options and exit codes of the corpus."""
 
+from typing import Any
+
 import click
 import pytest
 from commands_tree import command_tree, exit_codes, parameter
@@ -9,6 +11,10 @@
 """Commands that got a second name after the corpus was written; both have the same parameters."""
 
 
+ADDED_SCENARIOS = {"machine_replaced_late": "disk_lost_in_power_cut"}
+"""Scenarios that are newer than the corpus, each with the scenario that it precedes."""
+
+
 def test_commands_and_options_are_the_same() -> None:
     now = command_tree()
     before = read_json("commands_tree.json")
@@ -17,7 +23,20 @@
         before |= {name.replace(former, current): before[name] for name in renamed}
     assert now.keys() == before.keys()
     for command, parameters in before.items():
-        assert now[command] == parameters
+        assert now[command] == with_added_scenarios(parameters)
+
+
+def with_added_scenarios(parameters: Any) -> Any:
+    """Return the parameters of a command with the added scenarios among the choices."""
+    if isinstance(parameters, dict):
+        return {name: with_added_scenarios(value) for name, value in parameters.items()}
+    if not isinstance(parameters, list):
+        return parameters
+    values = [with_added_scenarios(value) for value in parameters]
+    for added, following in ADDED_SCENARIOS.items():
+        if following in values:
+            values.insert(values.index(following), added)
+    return values
 
 
 def test_exit_codes_are_the_same() -> None:
--- a/tests/simulation/test_fleet_simulation.py
+++ b/tests/simulation/test_fleet_simulation.py
@@ -4,7 +4,12 @@
 
 from orchidpath.cli.simulate import GUARD_NAMES, disabled_guards
 from orchidpath.simulation.scenario import Scenario
-from orchidpath.simulation.scenarios import REQUESTS_PER_SECOND, run_scenario
+from orchidpath.simulation.scenarios import (
+    ALSO_PLAYED_LATE,
+    REQUESTS_PER_SECOND,
+    SEEDS_PER_LATE_RUN,
+    run_scenario,
+)
 
 SEEDS = (0, 1, 2)
 
@@ -49,6 +54,15 @@
     assert result.fresh_checks > 1000
 
 
+@pytest.mark.parametrize("scenario", sorted(ALSO_PLAYED_LATE))
+def test_scenario_violates_no_invariant_when_the_leader_is_old(scenario: Scenario) -> None:
+    """Guards against time-outs that an old leader counts from the start of its leadership."""
+    seed = SEEDS_PER_LATE_RUN - 1
+    result = run_scenario(scenario, seed)
+    assert result.violation is None
+    assert result.virtual_seconds > run_scenario(scenario, seed - 1).virtual_seconds + 30.0
+
+
 def test_every_guard_has_a_scenario_that_detects_its_absence() -> None:
     assert set(GUARD_NAMES) - PROVOKED_ELSEWHERE <= set(DETECTED_BY)
 
