--- a/bench/leave_out_guards.py
+++ b/bench/leave_out_guards.py
@@ -26,14 +26,7 @@
 RUN_TIMEOUT_SECONDS = 300.0
 
 
-FIRST_ADDRESS_NUMBER = 60
-"""First pytest worker number, from which the loopback addresses of a run are derived.
-
-Each run has its own number, so that parallel runs use different addresses.
-"""
-
-
-def exit_code(edits: Sequence[Edit], tests: Sequence[str], number: int) -> int:
+def exit_code(edits: Sequence[Edit], tests: Sequence[str]) -> int:
     """Apply edits to a copy of the sources, run tests on it, and return pytest's exit code."""
     with tempfile.TemporaryDirectory(prefix="left-out-") as name:
         folder = Path(name)
@@ -42,11 +35,7 @@
         run = subprocess.run(
             [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *tests],
             cwd=folder,
-            env={
-                **os.environ,
-                "PYTHONPATH": paths,
-                "PYTEST_XDIST_WORKER": f"gw{FIRST_ADDRESS_NUMBER + number}",
-            },
+            env={**os.environ, "PYTHONPATH": paths},
             capture_output=True,
             text=True,
             timeout=RUN_TIMEOUT_SECONDS,
@@ -71,14 +60,11 @@
         parser.error(f"unknown guard {', '.join(unknown)}; expected one of {', '.join(guards)}")
     chosen = [guards[name] for name in arguments.names or guards]
     tests = sorted({test for guard in chosen for test in guard.tests})
-    if exit_code((), tests, 0) != 0:
+    if exit_code((), tests) != 0:
         print("the tests fail although no guard was removed", file=sys.stderr)
         return 1
     with ThreadPoolExecutor(arguments.jobs) as pool:
-        runs = [
-            pool.submit(exit_code, guard.edits, guard.tests, number)
-            for number, guard in enumerate(chosen, start=1)
-        ]
+        runs = [pool.submit(exit_code, guard.edits, guard.tests) for guard in chosen]
         detected = [run.result() == TESTS_FAILED for run in runs]
     for guard, is_detected in zip(chosen, detected, strict=True):
         print(f"{'detected' if is_detected else 'NOT DETECTED'}  {guard.name}: {guard.rule}")
--- a/tests/adapter/platform_environment.py
+++ b/tests/adapter/platform_environment.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import os
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from itertools import count
@@ -21,6 +20,7 @@
 from command_format import PlatformCommandFormat
 from configuration_format import Policies
 from control_calls import PlatformCalls
+from loopback_hosts import free_hosts
 from node_settings import NodeSettings, control_settings, router_settings
 from orchidpath.control.api.local_access import LocalControlAccess
 from orchidpath.control.process import ControlProcess
@@ -41,15 +41,6 @@
 They are below the range of ephemeral ports.
 """
 
-_environments = count()
-
-
-def machine_hosts(number: int) -> list[str]:
-    """Return loopback addresses that no other environment of this test run uses."""
-    process = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    environment = next(_environments)
-    return [f"127.{20 + process}.{environment % 250}.{10 + machine}" for machine in range(number)]
-
 
 class Arrival(NamedTuple):
     """A request as a worker received it."""
@@ -277,7 +268,8 @@
     def __init__(self, folder: Path, machines: int = 3) -> None:
         self._folder = folder
         self._ports = PORTS
-        self._hosts = machine_hosts(machines)
+        front, ready, control, wire = PORTS
+        self._hosts = free_hosts(machines, [front, ready, control, wire, wire + 1])
         self.controls: list[ControlProcess] = []
         self.routers: list[RouterProcess] = []
         self.workers: list[EmulatedWorker] = []
--- a/tests/soak/configuration_soak.py
+++ b/tests/soak/configuration_soak.py
@@ -3,7 +3,7 @@
 Clients keep using their open connections until a process is gone. A seed determines the order of
 the events and their kinds; how they meet depends on the machine. By hand::
 
-    python tests/soak/configuration_soak.py --seeds 0..49 --seconds 30 --machines 3
+    PYTHONPATH=tests python tests/soak/configuration_soak.py --seeds 0..49 --seconds 30 --machines 3
 """
 
 import argparse
--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -3,15 +3,15 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
 
+from loopback_hosts import free_hosts
+
 ROOT = Path(__file__).resolve().parents[2]
 
 ROUTER = "run_router.py"
@@ -163,27 +163,8 @@
 
 def create_machines(count: int, folder: Path) -> list[Machine]:
     """Return machines with loopback addresses on which the ports are free."""
-    hosts = _free_hosts(count)
+    ports = (FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT, WIRE_PORT + 1)
+    hosts = free_hosts(count, ports)
     return [
         Machine(number, host, hosts[:DISK_MACHINES], folder) for number, host in enumerate(hosts)
     ]
-
-
-def _free_hosts(count: int) -> list[str]:
-    # The addresses do not depend on the seed, so that runs of one seed can overlap.
-    source = random.SystemRandom()
-    while True:
-        stem = f"127.{source.randint(80, 250)}.{source.randint(1, 250)}"
-        hosts = [f"{stem}.{number + 1}" for number in range(count)]
-        if all(_is_free(host) for host in hosts):
-            return hosts
-
-
-def _is_free(host: str) -> bool:
-    for port in (FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT, WIRE_PORT + 1):
-        with socket.socket() as probe:
-            try:
-                probe.bind((host, port))
-            except OSError:
-                return False
-    return True
