Serve a request that has begun to arrive when a router stops listening

Callers saw: a connection that closed without an answer when only the head of their request, or a part of the body, had arrived 2.6 s after SIGTERM.

Cause: the stopping router closes connections that rest between requests. A connection that waited for the rest of a request looked like one, since the flag for received bytes is cleared before each wait. The end of the drain also waited only for requests that were complete.

Change: a connection rests only if the parser is between two requests and holds no bytes. The drain waits until every connection has closed after its last answer, within the same bound as before.

--- a/src/orchidpath/router/proxy/proxy_edge.py
+++ b/src/orchidpath/router/proxy/proxy_edge.py
@@ -160,8 +160,8 @@
         await asyncio.sleep(min(LINGER_SECONDS, drain_seconds))
         self._callers.stop_listening()
         remaining_seconds = drain_seconds - (self._clock() - started_at)
-        if not await self._drain.wait_until_idle(max(remaining_seconds, 0.0)):
-            self._logger.warning("requests_cut_off", count=self._drain.in_flight)
+        if not await self._callers.wait_until_closed(max(remaining_seconds, 0.0)):
+            self._logger.warning("requests_cut_off", count=len(self._callers.connections))
         if self._sweep_task is not None:
             self._sweep_task.cancel()
         self._callers.close()
--- a/src/orchidpath/router/proxy/proxy_server.py
+++ b/src/orchidpath/router/proxy/proxy_server.py
@@ -63,7 +63,9 @@
     @property
     def is_resting(self) -> bool:
         """Whether no request is being served and no byte of a next one has arrived."""
-        return self.is_idle and not self._has_input
+        is_between_requests = self._http.their_state is h11.IDLE
+        has_begun = self._has_input or bool(self._http.trailing_data[0])
+        return self.is_idle and is_between_requests and not has_begun
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection (called by asyncio)."""
@@ -88,7 +90,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request of a caller that has disconnected (called by asyncio)."""
         self._transport = None
-        self._server.connections.discard(self)
+        self._server.connection_closed(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -305,6 +307,7 @@
         self.connections: set[CallerConnection] = set()
         self.is_stopped = False
         self._server: asyncio.Server | None = None
+        self._connection_closed = asyncio.Event()
 
     async def start(self) -> None:
         """Start to listen.
@@ -335,6 +338,28 @@
             if connection.is_resting:
                 connection.close()
 
+    def connection_closed(self, connection: CallerConnection) -> None:
+        """Forget a connection (called by the connection)."""
+        self.connections.discard(connection)
+        self._connection_closed.set()
+
+    async def wait_until_closed(self, seconds: float) -> bool:
+        """Wait until the requests that have begun to arrive are answered, after `stop_listening`.
+
+        Returns
+        -------
+        bool
+            False if a connection is still open after this time, in seconds.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                while self.connections:
+                    self._connection_closed.clear()
+                    await self._connection_closed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def close(self) -> None:
         """Stop listening and close every connection."""
         self.stop_listening()
--- a/tests/router/test_proxy_server.py
+++ b/tests/router/test_proxy_server.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
+import pytest
+
 from orchidpath.common.clock import monotonic_seconds
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest, ResponseHead
 from orchidpath.router.proxy.proxy_server import CallerConnection, ProxyServer
@@ -124,3 +126,58 @@
                 answer += part
         assert not answer.endswith(b"0\r\n\r\n")
         writer.close()
+
+
+HEAD, BODY = b"POST /x HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\n", b"body"
+
+
+@pytest.mark.parametrize("sent_before", [HEAD[:1], HEAD[:30], HEAD, HEAD + BODY[:2], HEAD + BODY])
+async def test_a_request_that_has_begun_to_arrive_is_served_by_a_stopping_server(
+    sent_before: bytes,
+) -> None:
+    """Guards against a request whose connection is closed between its head and its body."""
+    handler = Handler()
+    async with serving(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(REQUEST)
+        await reader.readuntil(RESPONSE_END)
+        await send_and_wait(server, writer, sent_before)
+        server.stop_listening()
+        writer.write((HEAD + BODY)[len(sent_before) :])
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(RESPONSE_END)
+        assert await server.wait_until_closed(WAIT_SECONDS)
+        writer.close()
+
+
+async def send_and_wait(server: ProxyServer, writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Send bytes on the only connection, and return once the server has parsed them."""
+    (connection,) = server.connections
+    has_arrived = asyncio.Event()
+    receive = connection.data_received
+
+    def note(received: bytes) -> None:
+        receive(received)
+        has_arrived.set()
+
+    connection.data_received = note  # type: ignore[method-assign, assignment]
+    writer.write(data)
+    await has_arrived.wait()
+    # The task that reads the request runs in the next turns of the event loop.
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def test_a_stopping_server_waits_for_its_connections_for_a_bounded_time() -> None:
+    handler = Handler()
+    async with serving(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(REQUEST)
+        await reader.readuntil(RESPONSE_END)
+        await send_and_wait(server, writer, HEAD)
+        server.stop_listening()
+        assert not await server.wait_until_closed(0.05)
+        server.close()
+        assert await server.wait_until_closed(WAIT_SECONDS)
+        writer.close()
