Test of the voter watch: see events of every level

Another test in the same process may have configured a higher level, and the info event was then missing (once, the suite beside load). The check itself is unchanged.

--- a/tests/control/test_voter_watch.py
+++ b/tests/control/test_voter_watch.py
@@ -1,5 +1,7 @@
 """Operators see that voters stay missing, and that learners are removed."""
 
+from collections.abc import Iterator
+
 import pytest
 import structlog
 
@@ -27,6 +29,15 @@
         return self.now
 
 
+@pytest.fixture(autouse=True)
+def _logs_of_every_level() -> Iterator[None]:
+    """Undo a log level that another test of this process has configured."""
+    former = structlog.get_config()
+    structlog.reset_defaults()
+    yield
+    structlog.configure(**former)
+
+
 @pytest.fixture
 def clock() -> Clock:
     return Clock()
