Tests of the emulated platform: wait until the prefill worker is known

test_prompt_headers_of_a_client_reach_every_stage_unchanged failed once, with the suite run twice at the same time beside other load: the router knew the decode worker before the prefill worker, so the decode worker read the prompt itself, which is right, and the test found no arrival at the prefill worker. No assertion changed.

--- a/tests/adapter/platform_environment.py
+++ b/tests/adapter/platform_environment.py
@@ -437,15 +437,24 @@
     ) -> bytes:
         """Send requests until one gets status 200, and return its body.
 
-        A worker is available to the routers only some time after its first heartbeat.
+        A worker is available to the routers only some time after its first heartbeat. While only
+        the decode worker is, it prefills a prompt itself; the request is then sent again.
         """
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
                 response, body = await self.request(path, number, headers)
-                if response.status == 200 and body is not None:
+                is_served = response.status == 200 and self._has_prefilled(headers or {})
+                if is_served and body is not None:
                     return body
                 await asyncio.sleep(0.1)
 
+    def _has_prefilled(self, headers: Mapping[str, str]) -> bool:
+        """Whether a prefill worker was used, if there is one and the request has a prompt."""
+        prefill_workers = [worker for worker in self.workers if worker.stage == "prefill"]
+        if "X-Token-Usage" not in headers or not prefill_workers:
+            return True
+        return any(worker.arrivals for worker in prefill_workers)
+
     def front_url(self, number: int) -> str:
         return f"http://{self._hosts[number]}:{self._ports[0]}"
 
