Confirm a change that is sent again at the revision of its first application

Callers saw: after a machine was lost for good, no change of the configuration was acknowledged for 55 to 60 s while workers changed the replicated state (real processes; seven losses whose times were printed, one on, six on; 30 changes a second). The platform bounds it at 4 s.

Cause: a lost router stays registered for 60 s, and until then a revision is confirmed when the leases on older ones have expired, after some 1.7 s. A caller waits for a second and sends the change again. The copy waited for the revision of the state at its own application, which is newer whenever anything has changed, so the wait began again with every copy.

Change: a replica remembers the revision at which it first saw each accepted version, and a copy waits for that one. The newest 1024 versions are remembered; what is unknown waits as before.

The new test got no answer in 4 s before the change and passes with it.

--- a/src/orchidpath/control/replica/pending_updates.py
+++ b/src/orchidpath/control/replica/pending_updates.py
@@ -9,6 +9,7 @@
 
 from orchidpath.consensus.types import LogEntry
 from orchidpath.control.replica.control_effects import UpdateAnswered
+from orchidpath.state.bounded_table import insert_newest
 from orchidpath.state.outcomes import UpdateAccepted, UpdateConflict, UpdateResult
 from orchidpath.wire.messages import UpdateStatus
 
@@ -19,6 +20,10 @@
 """Longest wait for slow but reachable voters, after a majority has stored the update."""
 
 
+FIRST_REVISION_LIMIT = 1024
+"""Number of newest accepted versions whose first revisions are stored."""
+
+
 class _Proposed(msgspec.Struct, frozen=True):
     key: int
     index: int
@@ -40,6 +45,7 @@
     def __init__(self) -> None:
         self._proposed: dict[int, _Proposed] = {}
         self._accepted: list[_Accepted] = []
+        self._first_revisions: dict[int, int] = {}
 
     def rejection(self, key: int, reason: str) -> UpdateAnswered:
         """Return the answer to an update that was not proposed or not committed."""
@@ -54,8 +60,24 @@
     ) -> list[UpdateAnswered]:
         """Return the answer to the update that was proposed at the index of an applied entry.
 
-        The answer to an accepted update is returned later, by `confirm` or `leadership_lost`.
+        The answer to an accepted update is returned later, by `confirm` or `leadership_lost`. An
+        update that is sent again waits for the revision of its first application: the revision of
+        a later application is newer whenever the state has changed in between, so an operator who
+        sends sooner than a revision is confirmed would never get an answer.
+
+        Parameters
+        ----------
+        entry
+            The applied entry.
+        result
+            The outcome of the update.
+        revision
+            Revision of the state after the entry.
+        now
+            Current time, in monotonic seconds.
         """
+        if isinstance(result.outcome, UpdateAccepted):
+            revision = self._first_revision(result.outcome.version, revision)
         proposed = self._proposed.pop(entry.index, None)
         if proposed is None:
             return []
@@ -102,6 +124,14 @@
         self._accepted = waiting
         return answers
 
+    def _first_revision(self, version: int, revision: int) -> int:
+        """Return the first revision of an accepted version that this replica knows of."""
+        first = self._first_revisions.get(version)
+        if first is None:
+            first = revision
+            insert_newest(self._first_revisions, version, first, FIRST_REVISION_LIMIT)
+        return first
+
     def leadership_lost(self) -> list[UpdateAnswered]:
         """Return an answer to every pending update: a follower cannot determine its outcome."""
         answers = [
--- a/tests/control/test_control_replica.py
+++ b/tests/control/test_control_replica.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 import msgspec
-from leadership_builders import worker_record
+from leadership_builders import router_heartbeat, worker_record
 from update_builders import configuration_update
 
 from orchidpath.consensus.raft_core import RaftCore
@@ -33,6 +33,9 @@
 
 TICK = 0.05
 NOW = 3.0
+ACKNOWLEDGEMENT_SECONDS = 4.0
+"""While the core is stable, every change is acknowledged within this time."""
+
 ALONE = Membership(("c",), (), {"c": "c:1"})
 
 
@@ -152,3 +155,36 @@
             assert removed == []
     assert removed == [LearnerRemoved("d")]
     assert replica.missing_voters(NOW) == MemberPolicy().target_voters - 1
+
+
+def test_a_change_sent_again_each_second_is_confirmed_while_a_router_is_lost() -> None:
+    """Guards against changes without an acknowledgement for as long as a lost router is registered.
+
+    A caller waits for an answer for a second. Workers change the replicated state all the time, and
+    without the lost router a revision is confirmed only when the leases on older ones have expired.
+    """
+    replica = leading_replica()
+    for router_id in ("r1", "r2", "lost"):
+        replica.receive(router_id, router_heartbeat(router_id), NOW)
+    ticks_per_second = round(1.0 / TICK)
+    answered_after: list[float] = []
+    for step in range(round(ACKNOWLEDGEMENT_SECONDS / TICK)):
+        now = NOW + (step + 1) * TICK
+        if step % ticks_per_second == 0:
+            last_key = step
+            effects = replica.submit(last_key, configuration_update("a", 0), now)
+        else:
+            effects = []
+        announcement = Announcement(record=worker_record(f"w{step}"), sequence=1)
+        message = ForwardedAnnouncements(announcements=(announcement,))
+        effects += replica.receive("r1", message, now)
+        for router_id in ("r1", "r2"):
+            heartbeat = router_heartbeat(router_id, replica.state.revision, step + 2)
+            effects += replica.receive(router_id, heartbeat, now)
+        effects += replica.tick(now)
+        answered_after += [
+            now - NOW
+            for answer in update_answers(effects)
+            if answer.key == last_key and answer.answer is UpdateStatus.CONFIRMED
+        ]
+    assert answered_after
