--- a/tests/soak/configuration_soak.py
+++ b/tests/soak/configuration_soak.py
@@ -91,19 +91,35 @@
         Number of machines, each with a router and a control process; at least three.
     folder
         Folder for the settings, data and logs of the processes.
+    disk_count
+        Number of machines with a disk.
+    spare_count
+        Number of addresses for machines that come later.
     """
 
-    def __init__(self, seed: int, machine_count: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        machine_count: int,
+        folder: Path,
+        disk_count: int = DISK_MACHINES,
+        spare_count: int = 0,
+    ) -> None:
         self._random = Random(f"events of {seed}")
         self._worker_random = Random(f"workers of {seed}")
         self._source = ConfigurationSource(Random(f"configurations of {seed}"))
-        self._machines = create_machines(machine_count, folder)
+        self._machines, self._spare_hosts = create_machines(
+            machine_count, folder, disk_count, spare_count
+        )
         self.observations = Observations(self._machines)
         self._workers: list[SoakWorker] = []
         self._worker_numbers = count(1)
         self._request_numbers = count(1)
         self._events: set[asyncio.Task[None]] = set()
         self._control_event = asyncio.Lock()
+        self._operator_turn = asyncio.Lock()
+        self._clients_per_machine = CLIENTS_PER_MACHINE
+        self._workers_change = True
         self._is_over = False
 
     async def run(self, seconds: float) -> None:
@@ -115,7 +131,7 @@
                 clients = [
                     asyncio.create_task(self._run_client(machine))
                     for machine in self._machines[:CLIENT_MACHINES]
-                    for _ in range(CLIENTS_PER_MACHINE)
+                    for _ in range(self._clients_per_machine)
                 ]
                 await self._submit(self._source.first(), START_SECONDS)
                 await self._wait_until_ready(START_SECONDS)
@@ -128,7 +144,7 @@
                 for task in tasks:
                     task.cancel()
         finally:
-            for machine in self._machines:
+            for machine in self.observations.machines:
                 machine.kill_all()
             for worker in self._workers:
                 await worker.stop()
@@ -151,7 +167,14 @@
 
     async def _add_worker(self, service: str, stage: str) -> None:
         worker_id = f"i-{next(self._worker_numbers)}"
-        worker = SoakWorker(worker_id, service, stage, self.observations.runs, self._worker_random)
+        worker = SoakWorker(
+            worker_id,
+            service,
+            stage,
+            self.observations.runs,
+            self._worker_random,
+            changes_record=self._workers_change,
+        )
         await worker.start()
         self._workers.append(worker)
 
@@ -192,7 +215,8 @@
 
     async def _change_forever(self) -> None:
         while not self._is_over:
-            await self._submit(self._source.next(), math.inf)
+            async with self._operator_turn:
+                await self._submit(self._source.next(), math.inf)
             await asyncio.sleep(self._random.uniform(0.0, 0.8))
 
     async def _submit(self, update: Update, seconds: float) -> None:
@@ -357,7 +381,9 @@
 
     async def _freeze_control(self) -> None:
         async with self._control_event:
-            machine = self._choose(CONTROL, self._machines[:DISK_MACHINES])
+            machine = self._choose(
+                CONTROL, [machine for machine in self._machines if machine.has_disk]
+            )
             if machine is not None:
                 self._note(f"control {machine.number} is frozen")
                 machine.send_signal(CONTROL, signal.SIGSTOP)
@@ -445,7 +471,8 @@
     return soak.observations
 
 
-def _parse_seeds(text: str) -> range:
+def parse_seeds(text: str) -> range:
+    """Return the seeds of ``A..B``, both included, or of ``A``."""
     first, _, last = text.partition("..")
     return range(int(first), int(last or first) + 1)
 
@@ -453,7 +480,7 @@
 def main() -> int:
     """Run a range of seeds; print the summary and the problems of each."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=_parse_seeds, default=range(1))
+    parser.add_argument("--seeds", type=parse_seeds, default=range(1))
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--machines", type=int, default=3)
     arguments = parser.parse_args()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -65,7 +65,7 @@
     """Everything that the checks need, filled while the soak runs."""
 
     def __init__(self, machines: Sequence[Machine]) -> None:
-        self.machines = machines
+        self.machines = list(machines)
         self.runs: Counter[str] = Counter()
         self.outcomes: list[Outcome] = []
         self.updates: list[SentUpdate] = []
@@ -130,10 +130,12 @@
         return [sent.update for sent in self.updates[first:] if sent.sent_at <= outcome.ended_at]
 
     def _is_disturbed(self, outcome: Outcome) -> bool:
-        times: list[float] = self.machines[outcome.machine].disturbed
+        machine = self.machines[outcome.machine]
+        if outcome.ended_at + LOSS_SLACK_SECONDS >= machine.is_gone_since:
+            return True
         return any(
             outcome.sent_at - CONTACT_SECONDS <= at <= outcome.ended_at + LOSS_SLACK_SECONDS
-            for at in times
+            for at in machine.disturbed
         )
 
 
--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import math
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -21,6 +23,9 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT = 8144, 8140, 8146, 7660
 """The same on every machine, as on the platform, and below the range of ephemeral ports."""
 
+SEED_COUNT = 3
+"""Number of machines that the settings name."""
+
 DISK_MACHINES = 3
 """Number of machines with a disk, whose control processes may vote."""
 
@@ -40,30 +45,61 @@
     """One machine: its address, its settings file, and its two processes.
 
     ``disturbed`` lists the times at which its router was killed, frozen or thawed, in monotonic
-    seconds; what its callers see around them is not judged.
+    seconds; what its callers see around them is not judged. ``seeds`` are the hosts that its
+    settings name from its next start or reload on.
+
+    Parameters
+    ----------
+    number
+        Position among all machines of the run.
+    host
+        Loopback address.
+    seeds
+        Hosts of the first settings.
+    folder
+        Parent of the machine's folder.
+    has_disk
+        Whether its control process has a data folder, so that it may vote.
+    is_first
+        Whether it starts with the fleet; a machine that joins later must not form one.
     """
 
-    def __init__(self, number: int, host: str, seeds: Sequence[str], folder: Path) -> None:
+    def __init__(
+        self,
+        number: int,
+        host: str,
+        seeds: Sequence[str],
+        folder: Path,
+        *,
+        has_disk: bool,
+        is_first: bool = True,
+    ) -> None:
         self.number = number
         self.host = host
+        self.seeds = seeds
+        self.has_disk = has_disk
+        self.is_first = is_first
         self.disturbed: list[float] = []
-        self._seeds = seeds
+        self.is_gone_since = math.inf
         self._folder = folder / str(number)
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._expected_to_end: set[str] = set()
-        self._started: set[str] = set()
-        (self._folder / "data").mkdir(parents=True)
+        self._started: set[str] = set() if is_first else set(PROGRAMS)
+        self._data.mkdir(parents=True)
 
     @property
-    def has_disk(self) -> bool:
-        return self.number < DISK_MACHINES
+    def _data(self) -> Path:
+        return self._folder / "data"
 
     def start(self, program: str) -> None:
-        """Start a program, or start it again."""
+        """Start a program, or start it again once it has ended."""
+        former = self._processes.get(program)
+        if former is not None:
+            former.wait()
         is_first = program not in self._started
         self._started.add(program)
         self._expected_to_end.discard(program)
-        settings = self._folder / f"{program}.json"
+        settings = self._settings_file(program)
         settings.write_text(json.dumps(self._settings(is_first=is_first)))
         environment = {
             **{name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ},
@@ -80,6 +116,24 @@
                 stderr=log,
             )
 
+    def disturb_for_good(self, now: float) -> None:
+        """Judge nothing that callers of this machine see from a time on, in monotonic seconds."""
+        self.is_gone_since = now
+
+    def lose_disk(self) -> None:
+        """Empty the data folder; both programs must have ended."""
+        shutil.rmtree(self._data)
+        self._data.mkdir()
+
+    def change_seeds(self, seeds: Sequence[str]) -> None:
+        """Write settings that name other seeds; the running programs notice it."""
+        self.seeds = seeds
+        for program in PROGRAMS:
+            if self.is_running(program):
+                temporary = self._settings_file(f"{program}.new")
+                temporary.write_text(json.dumps(self._settings(is_first=False)))
+                temporary.replace(self._settings_file(program))
+
     def is_running(self, program: str) -> bool:
         process = self._processes.get(program)
         return process is not None and process.poll() is None
@@ -130,6 +184,9 @@
         log = self._folder / "log"
         return log.read_text(errors="replace").splitlines() if log.exists() else []
 
+    def _settings_file(self, program: str) -> Path:
+        return self._folder / f"{program}.json"
+
     def _settings(self, *, is_first: bool) -> dict[str, object]:
         return {
             "node_name": f"front-z{self.number % 3}-{self.number}",
@@ -141,9 +198,9 @@
                 "control": f"{self.host}:{CONTROL_PORT}",
             },
             "internal_ports": [WIRE_PORT, WIRE_PORT + 15],
-            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self._seeds],
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self.seeds],
             "bootstrap": is_first,
-            "data_dir": str(self._folder / "data") if self.has_disk else None,
+            "data_dir": str(self._data) if self.has_disk else None,
             "heartbeat_ms": 1200,
             "bounds": {"grace_s": GRACE_SECONDS, "retry_budget_ratio": 0.2, "retry_slack": 62},
             "fault_tolerance": {"machines": 1},
@@ -161,10 +218,14 @@
     return bool(mask & 1 << number - 1)
 
 
-def create_machines(count: int, folder: Path) -> list[Machine]:
-    """Return machines with loopback addresses on which the ports are free."""
+def create_machines(
+    count: int, folder: Path, disk_count: int = DISK_MACHINES, spare_count: int = 0
+) -> tuple[list[Machine], list[str]]:
+    """Return machines with loopback addresses on which the ports are free, and spare addresses."""
     ports = (FRONT_PORT, READY_PORT, CONTROL_PORT, WIRE_PORT, WIRE_PORT + 1)
-    hosts = free_hosts(count, ports)
-    return [
-        Machine(number, host, hosts[:DISK_MACHINES], folder) for number, host in enumerate(hosts)
+    hosts = free_hosts(count + spare_count, ports)
+    machines = [
+        Machine(number, host, hosts[:SEED_COUNT], folder, has_disk=number < disk_count)
+        for number, host in enumerate(hosts[:count])
     ]
+    return machines, hosts[count:]
--- a/tests/soak/soak_workers.py
+++ b/tests/soak/soak_workers.py
@@ -20,17 +20,27 @@
 class SoakWorker:
     """A worker; ``stage`` is empty for a plain one.
 
-    ``runs`` counts the executions of each request by all workers that share it.
+    ``runs`` counts the executions of each request by all workers that share it. With
+    ``changes_record`` every heartbeat differs from the one before, so that the replicated state
+    changes all the time.
     """
 
     def __init__(
-        self, worker_id: str, service: str, stage: str, runs: Counter[str], random: Random
+        self,
+        worker_id: str,
+        service: str,
+        stage: str,
+        runs: Counter[str],
+        random: Random,
+        *,
+        changes_record: bool = True,
     ) -> None:
         self.worker_id = worker_id
         self.service = service
         self.stage = stage
         self.state = "ready"
         self._address = ""
+        self._changes_record = changes_record
         self._runs = runs
         self._random = random
         self._sequence = 0
@@ -59,7 +69,7 @@
         body: dict[str, Any] = {
             "service": self.service,
             "address": self._address,
-            "zone": f"z{self._sequence % 3}",
+            "zone": f"z{self._sequence % 3}" if self._changes_record else "z0",
             "version": "v1",
             "slots": 64,
             "state": self.state,
