Record the departure of a worker that is not registered; let a worker that starts anew return

Cause: a departure was recorded only as the end of a registered incarnation. For a worker that was not registered any more nothing was remembered, and the call was answered because the worker was absent. A worker that started anew under its old id was ignored: for ever after a DELETE, and after a crash until its sequence exceeded that of its former run.

Change: the leader registers a leaver that is not registered as draining and removes it with the final sequence, by the two commands that exist. The call is answered once the state shows this, and for a worker that says draining once it is recorded as such.

--- a/src/orchidpath/control/api/local_access.py
+++ b/src/orchidpath/control/api/local_access.py
@@ -13,6 +13,7 @@
 from orchidpath.circuit.circuit_table import WorkerCircuitView
 from orchidpath.common.clock import Clock
 from orchidpath.control.api.control_access import ControlAccess, PlanAccess, UnavailableError
+from orchidpath.control.api.departures import shows_departure
 from orchidpath.control.api.operator_bodies import Accepted, StatusBody, SubmitResult, SubmitStatus
 from orchidpath.control.api.plan_bodies import PlanActionResult
 from orchidpath.control.replica.control_effects import (
@@ -42,7 +43,6 @@
     WorkerCircuitsReply,
     WorkerCircuitsRequest,
 )
-from orchidpath.wire.records import WorkerStatus
 
 UPDATE_TIMEOUT_SECONDS = CONFIRM_WAIT_SECONDS + 2.0
 """Bound on the wait for the outcome of an update or a plan action; then it is unknown."""
@@ -218,7 +218,7 @@
                     if not reply.accepted:
                         return False
                     await asyncio.sleep(DEPARTURE_PERIOD_SECONDS)
-                    if _shows_departure(await self.read_state(), announcement):
+                    if shows_departure(await self.read_state(), announcement):
                         return True
         except (TimeoutError, UnavailableError):
             return False
@@ -291,15 +291,6 @@
             self._pending.pop(key, None)
 
 
-def _shows_departure(state: FleetState, announcement: Announcement) -> bool:
-    """Whether a worker's incarnation is absent from a state, or draining if it announced that."""
-    record = announcement.record
-    entry = state.find_worker(record.worker_id)
-    if entry is None or entry.record.incarnation != record.incarnation:
-        return True
-    return not announcement.leaving and entry.record.status is WorkerStatus.DRAINING
-
-
 def _update_request(key: int, update: SubmitConfiguration) -> ConfigurationUpdateRequest:
     return ConfigurationUpdateRequest(
         correlation=key,
--- a/src/orchidpath/control/leadership/worker_liveness.py
+++ b/src/orchidpath/control/leadership/worker_liveness.py
@@ -5,12 +5,13 @@
 import msgspec
 
 from orchidpath.control.leadership.liveness import LivenessTracker
+from orchidpath.control.leadership.worker_runs import WorkerRuns
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.state.commands import WorkerChanged, WorkerRemoved
 from orchidpath.state.fleet_state import FleetState
 from orchidpath.wire.announcements import FINAL_SEQUENCE
 from orchidpath.wire.backend import Announcement
-from orchidpath.wire.records import WorkerRecord
+from orchidpath.wire.records import WorkerRecord, WorkerStatus
 
 
 class WorkerLiveness:
@@ -30,14 +31,17 @@
         self._state = state
         self._liveness = liveness
         self._output = output
+        self._runs = WorkerRuns(state)
 
     def receive_announcements(self, announcements: Iterable[Announcement], now: float) -> None:
         """Record announcements and propose the changes and departures that they report."""
         for announcement in announcements:
             if announcement.leaving:
                 self._remove_leaving(announcement.record)
-            else:
-                self._receive_announcement(announcement, now)
+                continue
+            assigned = self._runs.assign(announcement, now)
+            if assigned is not None:
+                self._receive_announcement(assigned, now)
 
     def propose_removals(self, now: float) -> None:
         """Propose to remove workers whose lease has expired."""
@@ -50,6 +54,7 @@
             )
             self._output.propose(removal)
         self._liveness.retain_workers(incarnations)
+        self._runs.forget_old(now)
 
     def _receive_announcement(self, announcement: Announcement, now: float) -> None:
         record = announcement.record
@@ -60,13 +65,23 @@
             self._output.propose(WorkerChanged(record=record, sequence=announcement.sequence))
 
     def _remove_leaving(self, record: WorkerRecord) -> None:
+        """Propose that the newest run of a worker has ended, whatever it announced before.
+
+        The sequence is above that of every announcement, so that none in transit can add the
+        worker again. A worker that is not registered is registered first, as draining: only the end
+        of a registered run is recorded.
+        """
+        run = self._state.newest_run(record.worker_id, record.incarnation)
         entry = self._state.find_worker(record.worker_id)
-        if entry is None or entry.record.incarnation != record.incarnation:
+        if entry is not None and entry.record.incarnation != run:
             return
-        # The sequence is above that of every announcement, so that none in transit can add the
-        # worker again.
+        if entry is None:
+            if self._state.ended_run_sequence(record.worker_id, run) == FINAL_SEQUENCE:
+                return
+            leaver = msgspec.structs.replace(record, incarnation=run, status=WorkerStatus.DRAINING)
+            self._output.propose_once(WorkerChanged(record=leaver, sequence=FINAL_SEQUENCE))
         removal = WorkerRemoved(
-            worker_id=record.worker_id, incarnation=record.incarnation, sequence=FINAL_SEQUENCE
+            worker_id=record.worker_id, incarnation=run, sequence=FINAL_SEQUENCE
         )
         self._output.propose_once(removal)
 
--- a/src/orchidpath/state/fleet_state_reader.py
+++ b/src/orchidpath/state/fleet_state_reader.py
@@ -141,6 +141,17 @@
         """Return a worker in the view, with the sequence of its announcement."""
         return self._workers.find(worker_id)
 
+    def newest_run(self, worker_id: str, incarnation: str) -> str:
+        """Return the incarnation of the newest run that was announced with an incarnation."""
+        return self._workers.newest_run(worker_id, incarnation)
+
+    def ended_run_sequence(self, worker_id: str, incarnation: str) -> int | None:
+        """Return the sequence up to which announcements no longer register an incarnation.
+
+        None if the incarnation has not ended, or ended too long ago to be stored.
+        """
+        return self._workers.ended_sequence(worker_id, incarnation)
+
     def workers(self) -> tuple[WorkerRecord, ...]:
         """Return the registered workers, sorted by id."""
         return self.view().workers
--- a/src/orchidpath/state/workers.py
+++ b/src/orchidpath/state/workers.py
@@ -16,6 +16,18 @@
 """Number of newest dead incarnations that are stored."""
 
 
+RUN_SEPARATOR = "#"
+"""Separates an incarnation from the number of the run, in all runs but the first."""
+
+
+def next_run(run: str) -> str:
+    """Return the incarnation of the run that follows a run under the same announced incarnation."""
+    announced, separator, number = run.rpartition(RUN_SEPARATOR)
+    if not separator or not number.isdecimal():
+        return f"{run}{RUN_SEPARATOR}2"
+    return f"{announced}{RUN_SEPARATOR}{int(number) + 1}"
+
+
 class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's record and the sequence number of its newest announcement."""
 
@@ -95,6 +107,26 @@
         """Return whether a worker is registered or one of its dead incarnations is stored."""
         return worker_id in self._entries or any(key[0] == worker_id for key in self._dead)
 
+    def newest_run(self, worker_id: str, incarnation: str) -> str:
+        """Return the incarnation of the newest run that was announced with an incarnation.
+
+        It is the announced one unless the worker has started anew under it (`next_run`).
+        """
+        current = self._entries.get(worker_id)
+        if current is not None and _is_run_of(current.record.incarnation, incarnation):
+            return current.record.incarnation
+        run = incarnation
+        while (worker_id, next_run(run)) in self._dead:
+            run = next_run(run)
+        return run
+
+    def ended_sequence(self, worker_id: str, incarnation: str) -> int | None:
+        """Return the sequence up to which announcements no longer register an incarnation.
+
+        None if the incarnation has not ended, or ended too long ago to be stored.
+        """
+        return self._dead.get((worker_id, incarnation))
+
     def announce(self, record: WorkerRecord, sequence: int) -> WorkerChange:
         """Apply a worker's announcement.
 
@@ -181,3 +213,7 @@
         for evicted_id, _ in insert_newest(self._dead, key, sequence, self._dead_limit):
             if not self.is_known(evicted_id):
                 self._cordoned.discard(evicted_id)
+
+
+def _is_run_of(run: str, incarnation: str) -> bool:
+    return run == incarnation or run.rpartition(RUN_SEPARATOR)[0] == incarnation
--- a/tests/adapter/platform_environment.py
+++ b/tests/adapter/platform_environment.py
@@ -401,6 +401,12 @@
         url = f"{self.control_url(number)}/instances/{worker.worker_id}"
         return (await self._session.delete(url)).status
 
+    async def registered_workers(self, number: int = 0) -> set[str]:
+        """Return the ids of the registered workers."""
+        async with self._session.get(self.control_url(number) + "/v1/workers") as response:
+            body = await response.json()
+        return {worker["record"]["worker_id"] for worker in body["workers"]}
+
     async def is_ready(self, number: int) -> bool:
         _, ready, *_ = self._ports
         response = await self._session.get(f"http://{self._hosts[number]}:{ready}/ready")
--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -196,6 +196,29 @@
         assert workers[0].arrivals == []
 
 
+async def test_a_late_heartbeat_does_not_return_a_worker_that_was_silent_and_then_left(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests to a worker that left after it had been removed for silence."""
+    workers = stock("s1", "s2")
+    async with running(tmp_path, *workers) as environment:
+        await environment.request_until_served("/stock/")
+        environment.without_heartbeats.add("s1")
+        late = workers[0].heartbeat()
+        async with asyncio.timeout(WAIT_SECONDS):
+            while "s1" in await environment.registered_workers():
+                await asyncio.sleep(0.1)
+        assert await environment.delete(workers[0]) == 200
+        workers[0].arrivals.clear()
+        for _ in range(4):
+            for number in range(3):
+                await environment.put_instance(workers[0], late, number)
+                response, _body = await environment.request("/stock/", number)
+                assert response.status == 200
+            await asyncio.sleep(0.1)
+        assert workers[0].arrivals == []
+
+
 async def test_a_machine_without_a_confirmed_leader_answers_reads_with_503(
     tmp_path: Path,
 ) -> None:
