Use a connection once for a request

Cause: answers are matched by request id, and the router repeated a request at the same worker on the connection that it had used last. The copy has the id of the repeat. The answer to a freed KV cache has no id, so a copy of it matched whatever came next on the connection.

Change: a repeat at the same worker gets another idle connection or a new one; at the connection limit the used one is closed for it. The connection on which a KV cache was freed is closed.

--- a/src/orchidpath/router/proxy/upstream.py
+++ b/src/orchidpath/router/proxy/upstream.py
@@ -293,7 +293,9 @@
         self._open: dict[str, int] = {}
         self.connections_opened = 0
 
-    async def connection(self, address: str, limit: int) -> UpstreamConnection:
+    async def connection(
+        self, address: str, limit: int, avoided: Sequence[UpstreamConnection] = ()
+    ) -> UpstreamConnection:
         """Return an idle connection, the most recently used first, or a new one.
 
         Parameters
@@ -302,19 +304,19 @@
             ``IP:port`` of the worker.
         limit
             Connections that this router may have open to the worker; 0 for no limit.
+        avoided
+            Connections that are not returned. If the limit is reached and one of them is idle, it
+            is closed, and a new connection takes its place.
 
         Raises
         ------
         NoConnectionError
             The worker does not accept a connection in time, or the limit is reached.
         """
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable:
-                return connection
-            connection.close()
-        if limit and self._open.get(address, 0) >= limit:
+        connection = self._take_idle(address, avoided)
+        if connection is not None:
+            return connection
+        if limit and self._open.get(address, 0) >= limit and not self._close_one_idle(address):
             raise NoConnectionError(f"{address}: all {limit} connections are in use")
         return await self._connect(address)
 
@@ -347,6 +349,28 @@
                 connection.close()
         self._idle.clear()
 
+    def _take_idle(
+        self, address: str, avoided: Sequence[UpstreamConnection]
+    ) -> UpstreamConnection | None:
+        """Take the most recently used idle connection that is not avoided; None without one."""
+        idle = self._idle.get(address, deque())
+        for connection in list(reversed(idle)):
+            if not connection.is_usable:
+                idle.remove(connection)
+                connection.close()
+            elif connection not in avoided:
+                idle.remove(connection)
+                return connection
+        return None
+
+    def _close_one_idle(self, address: str) -> bool:
+        """Close the idle connection that was used least recently; return False without one."""
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        idle.popleft().close()
+        return True
+
     async def _connect(self, address: str) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         self._open[address] = self._open.get(address, 0) + 1
--- a/src/orchidpath/router/proxy/worker_exchange.py
+++ b/src/orchidpath/router/proxy/worker_exchange.py
@@ -72,11 +72,16 @@
         self._service = service
         self._address = ""
         self._connection: UpstreamConnection | None = None
+        self._used: list[UpstreamConnection] = []
         self._matched: _MatchedHead | None = None
         self._first_part: bytes | None = None
 
     async def dispatch(self, dispatch: effects.Dispatch) -> ProxyEvent:
-        """Connect to a worker, check that it may still receive the request, and send it."""
+        """Connect to a worker, check that it may still receive the request, and send it.
+
+        A connection is used once for a request: a worker may send an answer twice, and the copy
+        has the same request id as the answer to a repeat.
+        """
         environment = self._environment
         chosen = dispatch.target
         worker = chosen.worker
@@ -85,7 +90,9 @@
         try:
             async with asyncio.timeout_at(dispatch.timeout_at):
                 connection = await environment.pool.connection(
-                    chosen.address, environment.state.connection_limit(self._service)
+                    chosen.address,
+                    environment.state.connection_limit(self._service),
+                    self._used,
                 )
         except NoConnectionError:
             return events.ConnectFailed()
@@ -100,6 +107,7 @@
             self._connection = None
             environment.pool.release_unused(chosen.address, connection)
             return events.SendRefused(refusal)
+        self._used.append(connection)
         try:
             self._write(connection, dispatch)
         except NoConnectionError:
@@ -243,6 +251,9 @@
 async def release_handle(environment: ProxyEnvironment, source: KvSource) -> None:
     """Free a KV cache at the worker that holds it; if that fails, the KV cache expires there.
 
+    The connection is closed afterwards: the answer has no request id, so a second copy of it could
+    not be told from the answer to a later request.
+
     Parameters
     ----------
     environment
@@ -255,11 +266,13 @@
         async with asyncio.timeout(RELEASE_TIMEOUT_SECONDS):
             connection = await environment.pool.connection(source.address, 0)
             connection.send(b"DELETE", target, [(b"host", source.address.encode())], b"")
-            await connection.read_head()
-            await _read_full_body(connection)
+            try:
+                await connection.read_head()
+                await _read_full_body(connection)
+            finally:
+                connection.close()
     except (UpstreamError, TimeoutError):
         return
-    environment.pool.release(source.address, connection)
 
 
 async def _read_full_body(connection: UpstreamConnection) -> bytes:
--- a/tests/router/proxy_recording.py
+++ b/tests/router/proxy_recording.py
@@ -558,7 +558,9 @@
         self._releases = script.source("releases")
         self._count = 0
 
-    async def connection(self, address: str, limit: int) -> FakeConnection:
+    async def connection(
+        self, address: str, limit: int, avoided: Sequence[object] = ()
+    ) -> FakeConnection:
         is_release = limit == 0
         source = self._releases if is_release else self._source
         note = self.log.add_release if is_release else self.log.add
--- a/tests/router/test_upstream.py
+++ b/tests/router/test_upstream.py
@@ -9,10 +9,12 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from unittest.mock import Mock
 
 import pytest
 
 from orchidpath.common.clock import monotonic_seconds
+from orchidpath.forwarding.proxy.proxy_effects import KvSource
 from orchidpath.router.proxy.upstream import (
     IDLE_MARGIN_SECONDS,
     MAX_IDLE_SECONDS,
@@ -22,6 +24,7 @@
     UpstreamConnection,
     UpstreamPool,
 )
+from orchidpath.router.proxy.worker_exchange import release_handle
 
 WAIT_SECONDS = 10.0
 HEADERS = [(b"host", b"worker"), (b"content-length", b"4")]
@@ -328,3 +331,43 @@
     with pytest.raises(NoConnectionError):
         await pool.connection(address, 0)
     assert pool._open == {}
+
+
+async def test_an_avoided_connection_is_not_returned_and_makes_room_at_the_limit() -> None:
+    """Guards against a second copy of an answer that is read as the answer to a repeat."""
+    pool = UpstreamPool(monotonic_seconds)
+    async with worker(respond_with(OWN, OWN)) as address:
+        first = await pool.connection(address, 1)
+        pool.release_unused(address, first)
+        assert await pool.connection(address, 1) is first
+        pool.release_unused(address, first)
+        second = await pool.connection(address, 2, [first])
+        assert second is not first
+        pool.release_unused(address, second)
+        assert await pool.connection(address, 2, [first]) is second
+        third = await pool.connection(address, 2, [first])
+        assert third not in (first, second)
+        assert not first.is_usable
+        with pytest.raises(NoConnectionError):
+            await pool.connection(address, 2, [first])
+        second.close()
+        third.close()
+
+
+async def test_a_connection_on_which_a_handle_was_freed_is_closed() -> None:
+    """Guards against an answer without a request id that is read as that of a later request."""
+    freed = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(freed)
+        await reader.read()
+
+    pool = UpstreamPool(monotonic_seconds)
+    async with worker(script) as address:
+        environment = Mock(pool=pool)
+        environment.protocol_mapping.release_target.return_value = b"/kv-handle/h"
+        await release_handle(environment, KvSource(address=address, handle="h"))
+        connection = await pool.connection(address, 0)
+        assert pool.connections_opened == 2
+        connection.close()
