--- a/tests/soak/core_loss_soak.py
+++ b/tests/soak/core_loss_soak.py
@@ -202,8 +202,11 @@
                     await asyncio.sleep(0.05)
 
     async def _strike(self, wiped_voter: WipedVoter, leader: Machine) -> None:
-        """Acknowledge a change, lose a disk and the power of the others, and read it back."""
-        older = [machine for machine in self._core() if machine.is_first]
+        """Acknowledge a change, lose a disk and the power of the others, and read it back.
+
+        The disk is that of any machine of the core but the newest.
+        """
+        older = self._core()[:-1]
         if wiped_voter is WipedVoter.LEADER and leader in older:
             wiped = leader
         else:
--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -78,7 +78,6 @@
         self.host = host
         self.seeds = seeds
         self.has_disk = has_disk
-        self.is_first = is_first
         self.disturbed: list[float] = []
         self.is_gone_since = math.inf
         self._folder = folder / str(number)
