Resume streams only: ignore `resumable` on routes of another type

Cause: the adapter looked at the flag before the type, and the router took any route whose streams may be resumed for one whose requests may be repeated.

Change: the flag counts for `streaming` routes alone. The document stays valid, as the list of invalid documents does not name the pair. The router asks ForwardRoute.may_repeat and may_resume, which also covers configurations stored before.

The builder of the tests of progress made routes without streams; it makes streams now, and the other combination is a case of its own.

--- a/src/orchidpath/forwarding/progress.py
+++ b/src/orchidpath/forwarding/progress.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from orchidpath.routing.retry_budget import RetryBudget
-from orchidpath.wire.configuration import ForwardRoute, Repetition
+from orchidpath.wire.configuration import ForwardRoute
 
 MIN_RETRY_SECONDS = 0.05
 """No further worker is tried with less time than this left until the deadline, in seconds."""
@@ -193,7 +193,7 @@
         deadline only if another worker may then execute the request.
         """
         left = max(self.time_left(now), 0.0)
-        may_time_out = self._route.repetition is not Repetition.NEVER and self.has_workers_left()
+        may_time_out = self._route.may_repeat and self.has_workers_left()
         if not may_time_out:
             return left
         target_seconds = self._route.target_latency_seconds * FIRST_RESPONSE_LATENCY_FACTOR
@@ -208,7 +208,7 @@
         return FailureOutcome.BROKEN
 
     def _may_execute_again(self) -> bool:
-        return not self.may_have_executed or self._route.repetition is not Repetition.NEVER
+        return not self.may_have_executed or self._route.may_repeat
 
 
 class RetryAfterRange(msgspec.Struct, frozen=True):
--- a/src/orchidpath/forwarding/proxy/proxy_machine.py
+++ b/src/orchidpath/forwarding/proxy/proxy_machine.py
@@ -26,7 +26,6 @@
 from orchidpath.forwarding.proxy.proxy_core import ProxyCore, ProxyPhase
 from orchidpath.forwarding.proxy.proxy_effects import ProxyEffect
 from orchidpath.routing.request.events import SendRefusal
-from orchidpath.wire.configuration import Repetition
 from orchidpath.wire.records import Stage
 
 NO_LEASE_RETRY_AFTER_SECONDS = 1.0
@@ -197,7 +196,7 @@
             return head.status == 200 and head.is_signed
         if 200 <= head.status < 300:
             return head.is_signed
-        may_repeat = self._plan.route.repetition is not Repetition.NEVER
+        may_repeat = self._plan.route.may_repeat
         return not (head.status >= 500 and may_repeat and self._progress.has_workers_left())
 
     def _transfer_refused(self, event: events.RefusalDrained, now: float) -> list[ProxyEffect]:
--- a/src/orchidpath/router/proxy/proxy_runner.py
+++ b/src/orchidpath/router/proxy/proxy_runner.py
@@ -24,7 +24,7 @@
 from orchidpath.router.proxy.response_relay import ResponseRelay
 from orchidpath.router.proxy.worker_exchange import WorkerExchange, release_handle
 from orchidpath.routing.ring import request_key
-from orchidpath.wire.configuration import ForwardRoute, Repetition, Service, ServiceKind
+from orchidpath.wire.configuration import ForwardRoute, Service, ServiceKind
 from orchidpath.wire.records import Stage
 
 
@@ -64,10 +64,7 @@
         self._machine = ProxyMachine(self._plan, _shared_resources(environment, subject))
         self._attempts = ProxyAttempts(environment, request_metadata, subject)
         self._exchange = WorkerExchange(environment, request, request_metadata, service)
-        self._response = ResponseRelay(
-            caller,
-            may_be_resumed=route.streaming and route.repetition is Repetition.RESUMED,
-        )
+        self._response = ResponseRelay(caller, may_be_resumed=route.may_resume)
         self._logger: Logger = get_logger("forward_request")
 
     async def run(self) -> None:
--- a/src/orchidpath/wire/configuration.py
+++ b/src/orchidpath/wire/configuration.py
@@ -92,7 +92,10 @@
     WHOLE = "whole"
     """The request is idempotent."""
     RESUMED = "resumed"
-    """Another worker can resume the stream after its last event."""
+    """Another worker can resume the stream after its last event.
+
+    On a route whose responses are no streams this is the same as `NEVER`.
+    """
 
 
 class WeightedService(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -154,6 +157,16 @@
     priority: int = 0
     prefix_affinity: bool = False
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another worker may resume a stream; no other response can be resumed."""
+        return self.streaming and self.repetition is Repetition.RESUMED
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have been executed may be sent to a worker again."""
+        return self.may_resume or self.repetition is Repetition.WHOLE
+
 
 class EdgeLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Limits on the size and the duration of what a caller of forward routes sends.
--- a/tests/adapter/test_configuration_format.py
+++ b/tests/adapter/test_configuration_format.py
@@ -44,10 +44,13 @@
     ("kind", "resumable", "repetition"),
     [
         ("safe", False, Repetition.WHOLE),
+        ("safe", True, Repetition.WHOLE),
         ("unsafe", False, Repetition.NEVER),
+        ("unsafe", True, Repetition.NEVER),
         ("streaming", True, Repetition.RESUMED),
         ("streaming", False, Repetition.NEVER),
         ("a kind of later days", False, Repetition.NEVER),
+        ("a kind of later days", True, Repetition.NEVER),
     ],
 )
 def test_the_repetition_of_a_route_follows_its_type(
--- a/tests/adapter/test_platform_path.py
+++ b/tests/adapter/test_platform_path.py
@@ -210,6 +210,32 @@
         assert sum(len(worker.runs) for worker in workers) == 1
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize("route_type", ["safe", "unsafe", "streaming", "a kind of later days"])
+@pytest.mark.parametrize("service", ["stock-api", "wine-llm"])
+async def test_only_safe_requests_and_resumable_streams_run_again_after_a_lost_answer(
+    tmp_path: Path, service: str, route_type: str, resumable: bool
+) -> None:
+    """Guards against ``unsafe`` requests that run twice because their route says ``resumable``."""
+    stage = "decode" if service == "wine-llm" else ""
+    workers = [EmulatedWorker(name, service, stage) for name in ("w1", "w2")]
+    may_repeat = route_type == "safe" or (route_type == "streaming" and resumable)
+    route = json.loads(document(1))["routes"][0]
+    changed = {"service": service, "route_type": route_type, "resumable": resumable}
+    async with running(tmp_path, *workers) as environment:
+        routes = [{**route, **changed, "max_attempts": 2}]
+        response = await environment.put_configuration(document(3, routes=routes), 2)
+        assert response.status == 200
+        await environment.request_until_served("/stock/")
+        for worker in workers:
+            worker.answers.append(run_and_abort)
+            worker.runs.clear()
+        response, _ = await environment.request("/stock/", headers={"X-Request-Id": "lost"})
+        assert response.status == 502
+        runs = sum(worker.runs.count("lost") for worker in workers)
+        assert runs == (2 if may_repeat else 1)
+
+
 async def test_a_rejected_request_is_retried_on_another_worker(tmp_path: Path) -> None:
     workers = stock("s1", "s2")
     async with running(tmp_path, *workers) as environment:
--- a/tests/forwarding/test_forward_progress.py
+++ b/tests/forwarding/test_forward_progress.py
@@ -28,12 +28,14 @@
     max_attempts: int = 2,
     budget_per_second: float = 10.0,
     seconds: float = 8.0,
+    streaming: bool = True,
 ) -> ForwardProgress:
     route = ForwardRoute(
         name="r",
         host="h",
         path_prefix="/",
         services=[WeightedService(service="s")],
+        streaming=streaming,
         repetition=repetition,
         max_attempts=max_attempts,
         target_latency_seconds=0.8,
@@ -49,8 +51,14 @@
 
 
 @pytest.mark.parametrize("kind", [FailureKind.BROKEN, FailureKind.TIMED_OUT])
-def test_a_request_that_may_have_executed_is_never_retried(kind: FailureKind) -> None:
-    request = progress()
+@pytest.mark.parametrize(
+    ("repetition", "streaming"),
+    [(Repetition.NEVER, False), (Repetition.NEVER, True), (Repetition.RESUMED, False)],
+)
+def test_a_request_that_may_have_executed_is_never_retried(
+    kind: FailureKind, repetition: Repetition, streaming: bool
+) -> None:
+    request = progress(repetition, streaming=streaming)
     request.record_dispatch("a")
     request.record_dispatch_failure(kind)
     assert not request.may_dispatch("b", NOW)
