--- a/tests/soak/core_loss_soak.py
+++ b/tests/soak/core_loss_soak.py
@@ -14,8 +14,11 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from multiprocessing import get_context
 from pathlib import Path
+from typing import Any, NamedTuple
 
 import aiohttp
 from configuration_soak import (
@@ -28,7 +31,7 @@
     parse_seeds,
 )
 from core_loss_days import LossDay, LossKind, MachineLoss, Round, SeedChange, WipedVoter, day_of
-from soak_checks import Observations, summary
+from soak_checks import summary
 from soak_configurations import content_of
 from soak_processes import CONTROL_PORT, GRACE_SECONDS, PROGRAMS, SEED_COUNT, WIRE_PORT, Machine
 
@@ -257,8 +260,17 @@
         self._note(f"version {newest['version']} was read back")
 
 
-def run_core_loss(seed: int, seconds: float, folder: Path) -> Observations:
-    """Play the day of a seed and return what was seen.
+class PlayedDay(NamedTuple):
+    """What a day has shown: the broken rules, the counts of its run, and its events."""
+
+    seed: int
+    problems: list[str]
+    counts: dict[str, Any]
+    timeline: list[str]
+
+
+def play_day(seed: int, seconds: float) -> PlayedDay:
+    """Play the day of a seed.
 
     Parameters
     ----------
@@ -266,34 +278,23 @@
         Seed of the day.
     seconds
         Time for which the fleet goes on after the last loss.
-    folder
-        Folder for the settings, data and logs of the processes.
     """
-    soak = CoreLossSoak(seed, day_of(seed), folder)
-    asyncio.run(soak.run(seconds))
-    return soak.observations
-
-
-def _play_seed(seed: int, seconds: float) -> bool:
-    """Play a seed, print what was seen, and return whether it broke no rule."""
     with tempfile.TemporaryDirectory() as folder:
-        observations = run_core_loss(seed, seconds, Path(folder))
-        problems = observations.check()
-    lines = [f"seed {seed}: {day_of(seed)}", json.dumps(summary(observations)), *problems]
-    print("\n  ".join([*lines, *(observations.timeline if problems else ())]), flush=True)
-    return not problems
+        soak = CoreLossSoak(seed, day_of(seed), Path(folder))
+        asyncio.run(soak.run(seconds))
+        observations = soak.observations
+        return PlayedDay(seed, observations.check(), summary(observations), observations.timeline)
 
 
-async def _play_seeds(seeds: Sequence[int], seconds: float, jobs: int) -> int:
-    """Play seeds side by side and return how many broke a rule."""
-    slots = asyncio.Semaphore(jobs)
+def play_days(seeds: Sequence[int], seconds: float, jobs: int) -> Iterator[PlayedDay]:
+    """Play days side by side, and return each as soon as it ends.
 
-    async def play(seed: int) -> bool:
-        async with slots:
-            return await asyncio.to_thread(_play_seed, seed, seconds)
-
-    results = await asyncio.gather(*(play(seed) for seed in seeds))
-    return results.count(False)
+    Each has a process of its own, so that the clients and workers of one don't delay another's.
+    """
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        plays = [pool.submit(play_day, seed, seconds) for seed in seeds]
+        for play in as_completed(plays):
+            yield play.result()
 
 
 def main() -> int:
@@ -303,7 +304,12 @@
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--jobs", type=int, default=1)
     arguments = parser.parse_args()
-    failed = asyncio.run(_play_seeds(arguments.seeds, arguments.seconds, arguments.jobs))
+    failed = 0
+    for played in play_days(arguments.seeds, arguments.seconds, arguments.jobs):
+        failed += bool(played.problems)
+        lines = [f"seed {played.seed}: {day_of(played.seed)}", json.dumps(played.counts)]
+        lines += [*played.problems, *played.timeline] if played.problems else []
+        print("\n  ".join(lines), flush=True)
     print(f"{failed} of {len(arguments.seeds)} seeds broke a rule", flush=True)
     return 1 if failed else 0
 
--- a/tests/soak/test_core_loss_soak.py
+++ b/tests/soak/test_core_loss_soak.py
@@ -1,11 +1,7 @@
 """Days of lost machines with real processes; ``core_loss_soak.py`` plays more of them by hand."""
 
-from concurrent.futures import ThreadPoolExecutor
-from pathlib import Path
-
 from core_loss_days import OLD_LEADER_SECONDS, LossKind, WipedVoter, day_of
-from core_loss_soak import run_core_loss
-from soak_checks import Observations, summary
+from core_loss_soak import play_days
 
 SECONDS = 3.0
 """Time for which a fleet goes on after the last loss."""
@@ -14,23 +10,15 @@
 """Days with one round each: a follower or the leader loses its disk, killed and silent machines."""
 
 
-def test_acknowledged_configurations_survive_a_lost_machine_and_then_a_lost_disk(
-    tmp_path: Path,
-) -> None:
+def test_acknowledged_configurations_survive_a_lost_machine_and_then_a_lost_disk() -> None:
     """Guards against a leader older than a minute that never replaces a lost voter.
 
     The days are played side by side, because each waits until its leader is old.
     """
-
-    def play(seed: int) -> Observations:
-        return run_core_loss(seed, SECONDS, tmp_path / str(seed))
-
-    with ThreadPoolExecutor(len(SEEDS)) as pool:
-        for observations in pool.map(play, SEEDS):
-            assert observations.check() == []
-            counts = summary(observations)
-            assert counts["statuses"]["200"] > 100
-            assert counts["acknowledged"] > 1
+    for played in play_days(SEEDS, SECONDS, len(SEEDS)):
+        assert played.problems == [], "\n".join(played.timeline)
+        assert played.counts["statuses"]["200"] > 100
+        assert played.counts["acknowledged"] > 1
 
 
 def test_the_days_differ_in_who_is_lost_how_and_whose_disk_is_lost_afterwards() -> None:
