Witness sets follow routers that leave: a router that stops tells the leader

Cause: a change is confirmed once a majority of every witness set since the last confirmed revision has adopted it. A router that stopped stayed a witness for 60 s, and in older sets for ever.

Change: a router that stops ceases to serve and to answer queries, and tells the leader (new message RouterLeaving) for at most 0.5 s, until the answer says that it is not registered. The leader removes it at once (RemoveRouter.left), from the history of the witness sets too, and awaits it no more.

Compatibility: earlier versions ignore the new field, remove the router as before and keep their history of witness sets, so that as leaders they wait as before; they drop the new message. Cases of both are in files of their own, and write_corpus.py writes one group alone. The guard witness_remembers also turns the new rule off when it is disabled, since that rule covers it.

--- a/src/orchidpath/control/leadership/confirmation.py
+++ b/src/orchidpath/control/leadership/confirmation.py
@@ -105,6 +105,23 @@
         else:
             self._lagging.add(router_id)
 
+    def router_left(self, router_id: str) -> None:
+        """Await nothing more of a router that serves no longer and answers no further query.
+
+        It is no longer counted among the witnesses, neither as one that has adopted a revision nor
+        as one of those of which a majority is required.
+        """
+        self._adopted.pop(router_id, None)
+        self._router_memberships = [
+            RouterMembership(
+                router_membership.revision,
+                router_membership.routers - {router_id},
+                router_membership.witnesses - {router_id},
+            )
+            for router_membership in self._router_memberships
+        ]
+        self._await_members()
+
     def lagging_routers(self) -> list[str]:
         """Return the ids of awaited routers that have not reported the newest committed revision.
 
--- a/src/orchidpath/control/leadership/leader_duties.py
+++ b/src/orchidpath/control/leadership/leader_duties.py
@@ -31,6 +31,7 @@
     ForwardedAnnouncements,
     Message,
     RouterHeartbeat,
+    RouterLeaving,
 )
 
 TICK_PERIOD_SECONDS = 0.05
@@ -113,6 +114,8 @@
         self.decisions.refresh_workers()
         self._worker_liveness.propose_removals(now)
         self._router_leases.propose_removals(now)
+        for router_id in self._router_leases.departed():
+            self.confirmation.router_left(router_id)
         self.confirmation.advance(now)
         self._plan_driver.tick(self.confirmation.confirmed_revision, now)
         self._stage_balancer.tick(self.confirmation.confirmed_revision, now)
@@ -135,6 +138,8 @@
                 self.decisions.receive_capacity(message, now)
             case RouterHeartbeat():
                 self._receive_heartbeat(message, now)
+            case RouterLeaving():
+                self._router_leases.leave(message)
             case FleetUpdateRequest():
                 self._update_publisher.receive_request(sender_id, message)
             case ForwardedAnnouncements():
--- a/src/orchidpath/control/leadership/revision_confirmation.py
+++ b/src/orchidpath/control/leadership/revision_confirmation.py
@@ -61,6 +61,10 @@
         if not self._tracker.has_lagging_routers:
             self.advance(now)
 
+    def router_left(self, router_id: str) -> None:
+        """Await nothing more of a router that has left, once the state no longer registers it."""
+        self._tracker.router_left(router_id)
+
     def advance(self, now: float) -> None:
         """Update the confirmed revision as of ``now``, and record it in the log if necessary."""
         confirmed = self._tracker.advance(now)
--- a/src/orchidpath/control/leadership/router_leases.py
+++ b/src/orchidpath/control/leadership/router_leases.py
@@ -6,7 +6,7 @@
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.state.commands import RegisterRouter, RemoveRouter
 from orchidpath.state.fleet_state import FleetState
-from orchidpath.wire.messages import RouterHeartbeat, RouterHeartbeatReply
+from orchidpath.wire.messages import RouterHeartbeat, RouterHeartbeatReply, RouterLeaving
 
 REGISTRATION_RETRY_SECONDS = 0.4
 """A router's registration is not proposed again within this time after its last heartbeat.
@@ -38,6 +38,8 @@
         self._liveness = liveness
         self._output = output
         self._adopted: dict[str, int] = {}
+        self._incarnations: dict[str, str] = {}
+        self._leaving: dict[str, str] = {}
 
     @property
     def adopted_revisions(self) -> Mapping[str, int]:
@@ -50,6 +52,10 @@
         The caller has checked that this leader holds its own lease at ``now``.
         """
         router_id = heartbeat.record.router_id
+        if self._leaving.get(router_id) == heartbeat.incarnation:
+            return  # A late heartbeat must not register the router again.
+        self._leaving.pop(router_id, None)
+        self._incarnations[router_id] = heartbeat.incarnation
         registered = self._state.find_router(router_id) == heartbeat.record
         age_seconds = self._liveness.seconds_since_heartbeat(router_id, now)
         if not registered and age_seconds > REGISTRATION_RETRY_SECONDS:
@@ -64,6 +70,33 @@
         )
         self._output.send(router_id, reply)
 
+    def leave(self, leaving: RouterLeaving) -> None:
+        """Remove a router that leaves; once the state shows it, answer that it is not registered.
+
+        Only an incarnation of which this leader has received a heartbeat can leave, and no later
+        one: a router that has restarted may answer queries again.
+        """
+        router_id = leaving.router_id
+        if self._incarnations.get(router_id) != leaving.incarnation:
+            return
+        self._leaving[router_id] = leaving.incarnation
+        self._adopted.pop(router_id, None)
+        if not self._has_left(router_id):
+            self._output.propose_once(RemoveRouter(router_id=router_id, left=True))
+            return
+        reply = RouterHeartbeatReply(
+            term=self._term, sequence=0, revision=self._state.revision, registered=False
+        )
+        self._output.send(router_id, reply)
+
+    def departed(self) -> list[str]:
+        """Return the routers that have left in this leadership, as the state shows."""
+        return [router_id for router_id in self._leaving if self._has_left(router_id)]
+
+    def _has_left(self, router_id: str) -> bool:
+        is_registered = self._state.find_router(router_id) is not None
+        return not is_registered and not self._state.is_witness(router_id)
+
     def propose_removals(self, now: float) -> None:
         """Propose to remove routers without a heartbeat for too long."""
         router_ids = [router.router_id for router in self._state.routers()]
--- a/src/orchidpath/control/replica/control_replica.py
+++ b/src/orchidpath/control/replica/control_replica.py
@@ -42,6 +42,7 @@
     ReadIndexReply,
     ReadIndexRequest,
     RouterHeartbeat,
+    RouterLeaving,
     WhoIsControl,
     WorkerCircuitsReply,
     WorkerCircuitsRequest,
@@ -252,7 +253,7 @@
         match message:
             case DecisionRequest():
                 self._output.send(sender_id, not_leader_reply(message, self.raft.term))
-            case RouterHeartbeat():
+            case RouterHeartbeat() | RouterLeaving():
                 self._output.send(sender_id, self.control_members())
             case _:
                 pass
--- a/src/orchidpath/router/fleet_link/control_link.py
+++ b/src/orchidpath/router/fleet_link/control_link.py
@@ -8,6 +8,7 @@
 import asyncio
 import random as random_module
 from collections.abc import Collection, Sequence
+from contextlib import suppress
 from typing import Protocol
 
 import msgspec
@@ -20,6 +21,7 @@
 from orchidpath.router.fleet_link.leader_finder import LeaderFinder
 from orchidpath.router.fleet_link.report_queue import ReportQueue
 from orchidpath.routing.freshness import (
+    LEAVE_TIMEOUT_SECONDS,
     AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
@@ -144,13 +146,13 @@
         self._loop_task = asyncio.create_task(self._run_loop())
 
     async def stop(self) -> None:
-        """Send queued reports and announcements, then close all connections."""
+        """Send queued reports and announcements, tell the leader, and close all connections."""
         if self._loop_task is not None:
             self._loop_task.cancel()
         if self._acknowledging is not None:
             self._acknowledging.cancel()
         self._send_queued(self._clock())
-        await asyncio.sleep(0)
+        await self._leave()
         await self._links.close()
         await self._listener.close()
 
@@ -225,6 +227,17 @@
         """Return whether the worker itself announced to this router that it is draining."""
         return self._announced.is_draining(worker_id)
 
+    async def _leave(self) -> None:
+        """Tell the leader that this router leaves, until the leader has recorded it or time is up.
+
+        Otherwise the confirmation of changes would await this router as a witness.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_SECONDS):
+                while not self._core.has_left:
+                    self._execute(self._core.leave())
+                    await asyncio.sleep(LOOP_PERIOD_SECONDS)
+
     async def _run_loop(self) -> None:
         while True:
             now = self._clock()
--- a/src/orchidpath/routing/freshness.py
+++ b/src/orchidpath/routing/freshness.py
@@ -20,6 +20,7 @@
     FreshnessReply,
     RouterHeartbeat,
     RouterHeartbeatReply,
+    RouterLeaving,
 )
 from orchidpath.wire.records import FleetView, RouterRecord, WorkerRecord, WorkerStatus
 
@@ -42,6 +43,9 @@
 since the last adoption.
 """
 
+LEAVE_TIMEOUT_SECONDS = 0.5
+"""Bound on the wait until the leader has recorded that a router leaves."""
+
 RETAINED_SEND_TIMES = 16
 """Number of sent heartbeats, and of sent queries, whose send times are retained.
 
@@ -64,12 +68,14 @@
     """A witness replies only if it has been fresh since its start."""
     REGISTERED_ONLY = "registered_only"
     """Only a registered router gets a lease from witnesses."""
+    WITNESS_KNOWN_TO_LEADER = "witness_known_to_leader"
+    """A witness replies only if the leader has renewed its lease since its start."""
 
 
 class SendToLeader(msgspec.Struct, frozen=True):
     """Send a message to the control leader, if the router is connected to one."""
 
-    message: RouterHeartbeat | FleetUpdateRequest
+    message: RouterHeartbeat | FleetUpdateRequest | RouterLeaving
 
 
 class SendToRouter(msgspec.Struct, frozen=True):
@@ -161,6 +167,9 @@
         self._adopted_at = float("-inf")
         self._update_requested_at = float("-inf")
         self._was_fresh = False
+        self._leader_has_renewed = False
+        self._is_leaving = False
+        self.has_left = False
 
     @property
     def view(self) -> FleetView | None:
@@ -178,7 +187,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether this router has a view and holds a lease to serve by it."""
-        if self._view is None:
+        if self._view is None or self._is_leaving:
             return False
         fresh = self._has_leader_lease(now) or self._has_witness_lease(now)
         self._was_fresh = self._was_fresh or fresh
@@ -209,6 +218,15 @@
             return []
         return self.heartbeat(now)
 
+    def leave(self) -> list[FreshnessEffect]:
+        """Stop serving and answering queries for good, and tell the leader.
+
+        Call it again until `has_left`: the message or its answer may be lost.
+        """
+        self._is_leaving = True
+        message = RouterLeaving(router_id=self._record.router_id, incarnation=self._incarnation)
+        return [SendToLeader(message)]
+
     def heartbeat(self, now: float) -> list[FreshnessEffect]:
         """Send a heartbeat at once, and query the witnesses if the leader has stopped replying."""
         self._next_heartbeat_at = now + ROUTER_HEARTBEAT_SECONDS
@@ -226,6 +244,9 @@
         A reply of an older term, or to a heartbeat whose send time is no longer retained, is
         ignored.
         """
+        if self._is_leaving:
+            self.has_left = self.has_left or not reply.registered
+            return []
         sent_at = self._heartbeats.get(reply.sequence)
         if reply.term < self._term or sent_at is None:
             return []
@@ -242,6 +263,7 @@
             return [] if updates_arrive else self._request_update(now)
         if reply.registered:
             self._leader_lease_from = max(self._leader_lease_from, sent_at)
+            self._leader_has_renewed = True
         return []
 
     def receive_update(self, update: FleetUpdate, now: float) -> list[FreshnessEffect]:
@@ -267,18 +289,20 @@
         """Reply to another router's query, as one of its witnesses or as a seed.
 
         A router that has not been fresh since its start does not reply: it may have adopted a newer
-        revision before it restarted, and a majority must not count its older one. The reply carries
-        the complete view if the other router's revision is older.
+        revision before it restarted, and a majority must not count its older one. One whose lease
+        the leader has not renewed since its start replies with its view, but not as a witness: its
+        former incarnation may have left, and the leader then counts on its silence. The reply
+        carries the complete view if the other router's revision is older.
         """
         self.is_fresh(now)
         has_been_fresh = self._was_fresh or FreshnessGuard.WITNESS_REMEMBERS in self._disabled
-        if self._view is None or not has_been_fresh:
+        if self._view is None or not has_been_fresh or self._is_leaving:
             return []
         update = None
         if query.adopted_revision < self.revision:
             update = full_update(self._view)
         reply = FreshnessReply(
-            witness_id=self._record.router_id,
+            witness_id=self._record.router_id if self._is_witness else "",
             sequence=query.sequence,
             adopted_revision=self.revision,
             update=update,
@@ -335,7 +359,7 @@
         answered = 0
         for witness_id in witnesses:
             if witness_id == self._record.router_id:
-                answered += int(self._was_fresh)
+                answered += int(self._was_fresh and self._is_witness)
                 continue
             witness_reply = self._witness_replies.get(witness_id)
             if witness_reply is None or now - witness_reply.sent_at >= ROUTER_LEASE_SECONDS:
@@ -345,6 +369,12 @@
             answered += 1
         return bool(witnesses) and answered >= majority
 
+    @property
+    def _is_witness(self) -> bool:
+        """Whether this router's replies, and its own revision, count as those of a witness."""
+        guards = {FreshnessGuard.WITNESS_KNOWN_TO_LEADER, FreshnessGuard.WITNESS_REMEMBERS}
+        return self._leader_has_renewed or bool(guards & self._disabled)
+
     def _is_registered(self) -> bool:
         view = self._view
         own_id = self._record.router_id
--- a/src/orchidpath/simulation/fault_driver.py
+++ b/src/orchidpath/simulation/fault_driver.py
@@ -5,6 +5,7 @@
 from orchidpath.simulation.control_node import ControlNode
 from orchidpath.simulation.environment import NetworkFaults
 from orchidpath.simulation.fleet_simulation import FleetSimulation
+from orchidpath.simulation.router_departures import RouterDepartures
 from orchidpath.simulation.scenario import Scenario
 
 FAULT_PERIOD_SECONDS = 1.5
@@ -106,6 +107,7 @@
             Scenario.MACHINE_REPLACED_LATE: [(3.0, self._replace_machine)],
             Scenario.RESTARTS: [(5.0, self._restart_in_turn), (22.0, self._restart_at_once)],
             Scenario.WITNESSES_RESTARTED: [(2.0, self._partition_seed_routers)],
+            Scenario.ROUTERS_LEAVE: RouterDepartures(self._fleet).timed_faults(),
             Scenario.ROUTERS_UNHEARD: [(2.0, self._partition_routers_from_control)],
             Scenario.DISK_LOST_IN_POWER_FAILURE: [
                 (seconds, self._lose_disk_in_power_failure) for seconds in POWER_FAILURES_AT_SECONDS
--- a/src/orchidpath/simulation/router_node.py
+++ b/src/orchidpath/simulation/router_node.py
@@ -4,6 +4,7 @@
 
 from orchidpath.router.fleet_link.leader_finder import LeaderFinder
 from orchidpath.routing.freshness import (
+    LEAVE_TIMEOUT_SECONDS,
     AcknowledgeSoon,
     FreshnessCore,
     FreshnessEffect,
@@ -94,6 +95,20 @@
         """Discard all state; a router has no disk."""
         self.core = None
 
+    def leave(self) -> None:
+        """Leave the fleet, and end once the leader has recorded it or the time is over."""
+        if self.is_running:
+            self._leave_until(self.now + LEAVE_TIMEOUT_SECONDS)
+
+    def _leave_until(self, deadline: float) -> None:
+        core = self.core
+        assert core is not None
+        if core.has_left or self.now > deadline:
+            self.kill()
+            return
+        self._execute(core.leave())
+        self.after(TURN_SECONDS, lambda: self._leave_until(deadline))
+
     def announce(self, announcement: Announcement) -> None:
         """Forward an announcement of a worker to the leader, if the router is running."""
         if self.is_running and not self.frozen:
--- a/src/orchidpath/simulation/scenario.py
+++ b/src/orchidpath/simulation/scenario.py
@@ -22,6 +22,7 @@
     RESTARTS = "restarts"
     BAD_NETWORK = "bad_network"
     WITNESSES_RESTARTED = "witnesses_restarted"
+    ROUTERS_LEAVE = "routers_leave"
     LATE_ANSWERS = "late_answers"
     ROUTERS_UNHEARD = "routers_unheard"
     MIXED = "mixed"
--- a/src/orchidpath/state/commands.py
+++ b/src/orchidpath/state/commands.py
@@ -63,10 +63,17 @@
     record: RouterRecord
 
 
-class RemoveRouter(msgspec.Struct, frozen=True, kw_only=True, tag="remove_router"):
-    """Removes a router from the registered routers."""
+class RemoveRouter(
+    msgspec.Struct, frozen=True, kw_only=True, tag="remove_router", omit_defaults=True
+):
+    """Removes a router from the registered routers.
+
+    If ``left`` is set, the router has stated that it answers no further query, and is also removed
+    from the history of the witness sets. Earlier versions ignore the field.
+    """
 
     router_id: str
+    left: bool = False
 
 
 class WorkerChanged(msgspec.Struct, frozen=True, kw_only=True, tag="worker_changed"):
--- a/src/orchidpath/state/fleet_state.py
+++ b/src/orchidpath/state/fleet_state.py
@@ -113,7 +113,7 @@
             case RegisterRouter():
                 return self._register_router(command.record)
             case RemoveRouter():
-                return self._remove_router(command.router_id)
+                return self._remove_router(command)
             case WorkerChanged():
                 return self._announce_worker(command)
             case WorkerRemoved():
@@ -155,10 +155,13 @@
             self._routers_changed(Change(revision=self._revision + 1, router=record))
         return RecordResult(effect=effect)
 
-    def _remove_router(self, router_id: str) -> RecordResult:
+    def _remove_router(self, command: RemoveRouter) -> RecordResult:
+        router_id = command.router_id
         effect = self._routers.remove(router_id)
         if effect is Effect.CHANGED:
             self._routers_changed(Change(revision=self._revision + 1, removed_router=router_id))
+        if command.left and self._routers.find(router_id) is None:
+            self._routers.forget_witness(router_id)
         return RecordResult(effect=effect)
 
     def _announce_worker(self, command: WorkerChanged) -> RecordResult:
--- a/src/orchidpath/state/fleet_state_reader.py
+++ b/src/orchidpath/state/fleet_state_reader.py
@@ -202,6 +202,10 @@
         """Ids of the current witness routers."""
         return self._routers.witnesses
 
+    def is_witness(self, router_id: str) -> bool:
+        """Return whether a router is in any witness set of the history."""
+        return any(router_id in one.witnesses for one in self._routers.witness_sets())
+
     def witness_sets_since(self, revision: int) -> tuple[tuple[str, ...], ...]:
         """Return every distinct set that was effective at a revision or later, oldest first.
 
--- a/src/orchidpath/state/routers.py
+++ b/src/orchidpath/state/routers.py
@@ -66,6 +66,10 @@
             return Effect.UNKNOWN
         return Effect.CHANGED
 
+    def forget_witness(self, router_id: str) -> None:
+        """Remove a router that answers no further query from every witness set of the history."""
+        self._witnesses.forget(router_id)
+
     def update_witnesses(self, revision: int, confirmed_revision: int) -> None:
         """Choose the witness set for the currently registered routers.
 
--- a/src/orchidpath/state/witnesses.py
+++ b/src/orchidpath/state/witnesses.py
@@ -127,6 +127,22 @@
         self._sets.append(WitnessSet(revision=revision, witnesses=witnesses))
         return True
 
+    def forget(self, router_id: str) -> None:
+        """Remove a router from every set, because it answers no further query.
+
+        The majority of a smaller set has more than half of the witnesses that may still answer, so
+        those outside it are less than half of the set that a router may still use.
+        """
+        self._sets = [
+            msgspec.structs.replace(
+                witness_set,
+                witnesses=tuple(
+                    witness for witness in witness_set.witnesses if witness != router_id
+                ),
+            )
+            for witness_set in self._sets
+        ]
+
     def since(self, revision: int) -> tuple[tuple[str, ...], ...]:
         """Return every distinct set that was effective at a revision or later, oldest first.
 
--- a/src/orchidpath/wire/messages/__init__.py
+++ b/src/orchidpath/wire/messages/__init__.py
@@ -33,6 +33,7 @@
     FreshnessReply,
     RouterHeartbeat,
     RouterHeartbeatReply,
+    RouterLeaving,
 )
 from orchidpath.wire.messages.membership_messages import (
     ConsensusMessage,
@@ -99,6 +100,7 @@
     "Rejection",
     "RouterHeartbeat",
     "RouterHeartbeatReply",
+    "RouterLeaving",
     "StageCandidates",
     "UpdateStatus",
     "WhoIsControl",
@@ -114,6 +116,7 @@
     | ConsensusMessage
     | RouterHeartbeat
     | RouterHeartbeatReply
+    | RouterLeaving
     | FleetUpdate
     | FleetUpdateRequest
     | FreshnessQuery
--- a/src/orchidpath/wire/messages/fleet_update_messages.py
+++ b/src/orchidpath/wire/messages/fleet_update_messages.py
@@ -56,6 +56,20 @@
     registered: bool
 
 
+class RouterLeaving(msgspec.Struct, frozen=True, kw_only=True, tag="router_leaving"):
+    """States that this incarnation of a router serves no longer and answers no further query.
+
+    Sent by: a router that stops, to the leader, again and again until the leader's reply says that
+    the router is not registered. If the message is lost, the router is removed for its silence, but
+    remains a member of the witness sets up to then. If the message is late or duplicated, it
+    changes nothing: the leader ignores it unless the last heartbeat of the router was of this
+    incarnation.
+    """
+
+    router_id: str
+    incarnation: str
+
+
 class FleetUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="fleet_update"):
     """A newer fleet state, as a full view or as a delta.
 
--- a/tests/compatibility/binary_corpus.py
+++ b/tests/compatibility/binary_corpus.py
@@ -23,7 +23,7 @@
 from orchidpath.consensus.types import LogEntry, Membership
 from orchidpath.control.replica.consensus_codec import decode_consensus, encode_consensus
 from orchidpath.routing.decision_log import LogLine, decode_line, encode_line
-from orchidpath.state.commands import Command, decode_command, encode_command
+from orchidpath.state.commands import Command, RemoveRouter, decode_command, encode_command
 from orchidpath.state.snapshot import SnapshotBody, decode_snapshot, encode_snapshot
 from orchidpath.wire.backend import (
     Announcement,
@@ -48,6 +48,7 @@
     InFlightMark,
     Message,
     PromptShape,
+    RouterLeaving,
     WorkerTally,
 )
 
@@ -173,11 +174,25 @@
     return view
 
 
+LATER_MESSAGES = {"router_leaving": RouterLeaving}
+"""Messages that are newer than the corpus of all others, in a group of their own."""
+
+LATER_FIELDS: Mapping[type[msgspec.Struct], Mapping[str, object]] = {RemoveRouter: {"left": False}}
+"""Optional fields that are newer than the corpus, with their defaults.
+
+The cases that set them are in later groups.
+"""
+
+FIRST_MESSAGES = {
+    label: message for label, message in by_tag(Message).items() if label not in LATER_MESSAGES
+}
+
 GROUPS: tuple[Group, ...] = (
-    Group("wire_frames", by_tag(Message), _decode_frame, encode_frame),
+    Group("wire_frames", FIRST_MESSAGES, _decode_frame, encode_frame),
+    Group("later_wire_frames", LATER_MESSAGES, _decode_frame, encode_frame),
     Group(
         "wire_payloads",
-        by_tag(Message),
+        FIRST_MESSAGES,
         lambda _label, content: _messages.decode(content),
         msgspec.msgpack.encode,
     ),
@@ -211,6 +226,12 @@
         lambda _label, content: decode_command(content),
         encode_command,
     ),
+    Group(
+        "later_log_commands",
+        {"remove_router": RemoveRouter},
+        lambda _label, content: decode_command(content),
+        encode_command,
+    ),
     Group("log_records", by_tag(Record), _decode_record, encode_record),
     Group(
         "log_memberships",
@@ -283,7 +304,10 @@
     content: dict[str, Any] = {}
     if config.tag is not None:
         content[str(config.tag_field)] = config.tag
+    later = LATER_FIELDS.get(type(value), {})
     for name, attribute in names.items():
+        if name in later and getattr(value, attribute) == later[name]:
+            continue  # Older cases lack the field; it must read as its default.
         content[name] = plain(getattr(value, attribute), array_fields)
     return content
 
--- a/tests/compatibility/corpus_checks.py
+++ b/tests/compatibility/corpus_checks.py
@@ -11,6 +11,7 @@
 from binary_corpus import (
     FORMAT_FIELD,
     GROUPS,
+    LATER_FIELDS,
     Group,
     decoded_values,
     label_of,
@@ -20,6 +21,9 @@
 
 import orchidpath.wire
 
+LATER_PREFIX = "later_"
+"""Begins the names of the groups that were added after the first ones."""
+
 
 def groups_named(prefix: str) -> list[Group]:
     """Return the groups whose files begin with a prefix."""
@@ -44,9 +48,11 @@
     """Return the forms of the groups' types that occur in no case.
 
     Each struct must occur in a case with all its optional fields at their defaults, each optional
-    field must occur in a case with another value, and each enum value must occur in a case.
+    field must occur in a case with another value, and each enum value must occur in a case. Fields
+    that are newer than the first groups (`LATER_FIELDS`) are required of the later groups alone.
     """
     groups = list(groups)
+    is_first = not any(group.name.startswith(LATER_PREFIX) for group in groups)
     expected = reachable_types(root for group in groups for root in group.labelled.values())
     seen = list(decoded_values(groups))
     missing: list[str] = []
@@ -55,15 +61,18 @@
             missing.extend(f"{value!r}" for value in found if value not in seen)
         elif issubclass(found, msgspec.Struct):
             instances = [value for value in seen if type(value) is found]
-            missing.extend(_uncovered_fields(found, instances))
+            later = frozenset(LATER_FIELDS.get(found, {})) if is_first else frozenset()
+            missing.extend(_uncovered_fields(found, instances, later))
     return missing
 
 
-def _uncovered_fields(struct: type[msgspec.Struct], instances: Sequence[object]) -> list[str]:
+def _uncovered_fields(
+    struct: type[msgspec.Struct], instances: Sequence[object], later: frozenset[str]
+) -> list[str]:
     optional = {
         field.name: _default(field)
         for field in msgspec.structs.fields(struct)
-        if not field.required and field.name != FORMAT_FIELD
+        if not field.required and field.name not in {FORMAT_FIELD, *later}
     }
     missing: list[str] = []
     if not any(
--- a/tests/compatibility/test_commands_corpus.py
+++ b/tests/compatibility/test_commands_corpus.py
@@ -11,8 +11,12 @@
 """Commands that got a second name after the corpus was written; both have the same parameters."""
 
 
-ADDED_SCENARIOS = {"machine_replaced_late": "disk_lost_in_power_cut"}
-"""Scenarios that are newer than the corpus, each with the scenario that it precedes."""
+ADDED_CHOICES = {
+    "machine_replaced_late": "disk_lost_in_power_cut",
+    "routers_leave": "late_answers",
+    "freshness.witness_known_to_leader": "freshness.witness_majority",
+}
+"""Scenarios and guards that are newer than the corpus, each with the choice that it precedes."""
 
 
 def test_commands_and_options_are_the_same() -> None:
@@ -23,17 +27,17 @@
         before |= {name.replace(former, current): before[name] for name in renamed}
     assert now.keys() == before.keys()
     for command, parameters in before.items():
-        assert now[command] == with_added_scenarios(parameters)
+        assert now[command] == with_added_choices(parameters)
 
 
-def with_added_scenarios(parameters: Any) -> Any:
-    """Return the parameters of a command with the added scenarios among the choices."""
+def with_added_choices(parameters: Any) -> Any:
+    """Return the parameters of a command with the added scenarios and guards among the choices."""
     if isinstance(parameters, dict):
-        return {name: with_added_scenarios(value) for name, value in parameters.items()}
+        return {name: with_added_choices(value) for name, value in parameters.items()}
     if not isinstance(parameters, list):
         return parameters
-    values = [with_added_scenarios(value) for value in parameters]
-    for added, following in ADDED_SCENARIOS.items():
+    values = [with_added_choices(value) for value in parameters]
+    for added, following in ADDED_CHOICES.items():
         if following in values:
             values.insert(values.index(following), added)
     return values
--- a/tests/compatibility/test_log_corpus.py
+++ b/tests/compatibility/test_log_corpus.py
@@ -26,7 +26,9 @@
     hard_state: HardState
 
 
-@pytest.mark.parametrize(("group", "name"), case_parameters(groups_named("log_")))
+@pytest.mark.parametrize(
+    ("group", "name"), case_parameters([*groups_named("log_"), *groups_named("later_")])
+)
 def test_a_case_is_read_and_written_as_before(group: Group, name: str) -> None:
     case = read_cases(group.path)[name]
     label = label_of(name)
--- a/tests/compatibility/write_corpus.py
+++ b/tests/compatibility/write_corpus.py
@@ -1,7 +1,7 @@
 """Writes the corpus of encoded values; run manually, once, with the code whose formats it pins.
 
-Usage: ``python tests/compatibility/write_corpus.py [--overwrite]``. The script refuses to replace
-existing files: a corpus that changed code has written again would prove nothing.
+Usage: ``python tests/compatibility/write_corpus.py [--overwrite | --group NAME]``. The script
+refuses to replace existing files: a corpus that changed code has written again would prove nothing.
 """
 
 import argparse
@@ -110,7 +110,13 @@
     """Write every file of the corpus."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--overwrite", action="store_true")
+    parser.add_argument("--group", help="write the file of this group alone")
     options = parser.parse_args(arguments)
+    if options.group:
+        [group] = [group for group in GROUPS if group.name == options.group]
+        refuse_existing([group.path])
+        group.path.write_text(cases_text(group_cases(group)))
+        return
     if not options.overwrite:
         folders = [FOLDER / "data_folder", FOLDER / "data_folder_later"]
         groups = [group.path for group in GROUPS]
--- a/tests/control/test_confirmation.py
+++ b/tests/control/test_confirmation.py
@@ -104,3 +104,15 @@
             confirmation.router_adopted("b", 2)
         confirmation.advance(LATER)
         assert confirmation.advance(LATER + LEASE_EXPIRY_SECONDS) == 2
+
+
+def test_routers_that_have_left_are_neither_awaited_nor_counted_among_the_witnesses() -> None:
+    """Guards against changes that are never confirmed once most witnesses have left for good."""
+    confirmation = tracker()
+    commit(confirmation, 2)
+    confirmation.router_adopted("a", 2)
+    assert confirmation.advance(LATER) == 1
+    confirmation.router_left("b")
+    assert confirmation.advance(LATER) == 1
+    confirmation.router_left("c")
+    assert confirmation.advance(LATER) == 2
--- a/tests/routing/test_freshness.py
+++ b/tests/routing/test_freshness.py
@@ -21,6 +21,7 @@
     FreshnessQuery,
     FreshnessReply,
     RouterHeartbeatReply,
+    RouterLeaving,
 )
 from orchidpath.wire.records import FleetView, RouterRecord
 
@@ -158,3 +159,44 @@
     second = freshness.receive_update(full_update(view(2)), 10.02)
     expected = FIRST_ACKNOWLEDGE_PERIOD_SECONDS - 0.01
     assert abs(acknowledge_delay_seconds(second) - expected) < 1e-9
+
+
+def test_a_router_that_leaves_serves_no_longer_and_answers_no_query() -> None:
+    """Guards against a witness that answers although the leader counts on its silence."""
+    freshness = core(view(1))
+    freshness.heartbeat(10.0)
+    freshness.receive_heartbeat_reply(reply(1, 1), 10.1)
+    query = FreshnessQuery(router_id="b", sequence=1, adopted_revision=0)
+    assert freshness.receive_query(query, "b:1", 10.2)
+    (sent,) = freshness.leave()
+    assert isinstance(sent, SendToLeader)
+    assert sent.message == RouterLeaving(router_id="a", incarnation="first")
+    assert not freshness.is_fresh(10.2)
+    assert freshness.receive_query(query, "b:1", 10.2) == []
+    freshness.receive_heartbeat_reply(reply(1, 1), 10.3)
+    assert not freshness.has_left
+    recorded = RouterHeartbeatReply(term=1, sequence=0, revision=2, registered=False)
+    freshness.receive_heartbeat_reply(recorded, 10.4)
+    assert freshness.has_left
+
+
+def test_a_router_replies_as_a_witness_only_once_the_leader_has_renewed_its_lease() -> None:
+    """Guards against a restarted witness that vouches for a revision older than its departure."""
+    freshness = core(view(1))
+    freshness.heartbeat(10.0)
+    for witness in ("b", "c"):
+        freshness.receive_reply(
+            FreshnessReply(witness_id=witness, sequence=1, adopted_revision=1), 10.1
+        )
+    assert freshness.is_fresh(10.1)
+    query = FreshnessQuery(router_id="b", sequence=1, adopted_revision=0)
+    (sent,) = freshness.receive_query(query, "b:1", 10.2)
+    assert isinstance(sent, SendToRouter)
+    assert isinstance(sent.message, FreshnessReply)
+    assert sent.message.witness_id == ""
+    assert sent.message.update is not None
+    freshness.receive_heartbeat_reply(reply(1, 1), 10.3)
+    (sent,) = freshness.receive_query(query, "b:1", 10.4)
+    assert isinstance(sent, SendToRouter)
+    assert isinstance(sent.message, FreshnessReply)
+    assert sent.message.witness_id == "a"
--- a/tests/simulation/test_fleet_simulation.py
+++ b/tests/simulation/test_fleet_simulation.py
@@ -23,6 +23,7 @@
     "freshness.witness_majority": Scenario.PARTITIONS,
     "freshness.witness_remembers": Scenario.WITNESSES_RESTARTED,
     "freshness.registered_only": Scenario.ROUTERS_UNHEARD,
+    "freshness.witness_known_to_leader": Scenario.ROUTERS_LEAVE,
     "confirmation.confirm_witness_majority": Scenario.PARTITIONS,
     "confirmation.confirm_wait_for_lapse": Scenario.PARTITIONS,
     "consensus.log_up_to_date": Scenario.FREEZES,
