--- a/tests/adapter/test_configuration_moves.py
+++ b/tests/adapter/test_configuration_moves.py
@@ -155,6 +155,7 @@
 async def test_a_failed_transfer_of_a_removed_service_is_followed_by_decode_side_prefill(
     tmp_path: Path, change: Change
 ) -> None:
+    """Guards against requests that are cut off between a failed transfer and the next attempt."""
     prefill = EmulatedWorker("p", "wine-llm", "prefill")
     decode = EmulatedWorker("d", "wine-llm", "decode")
     async with running(tmp_path, prefill, decode) as environment:
@@ -168,6 +169,7 @@
 async def test_a_stream_of_a_removed_service_is_resumed_at_its_second_worker(
     tmp_path: Path, change: Change
 ) -> None:
+    """Guards against streams that break off for good when their service is removed."""
     decodes = [EmulatedWorker(name, "wine-llm", "decode") for name in ("d1", "d2")]
     resumable = {**ADVICE, "resumable": True, "max_attempts": 2}
     async with running(tmp_path, *decodes) as environment:
@@ -201,3 +203,79 @@
         may_break.set()
         response, body = await request
         assert (response.status, body) == (200, EVENTS)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+async def test_a_stream_goes_on_when_its_service_is_removed(tmp_path: Path, change: Change) -> None:
+    """Guards against streams that end early when their service is removed."""
+    decode = EmulatedWorker("d", "wine-llm", "decode")
+    has_begun, may_go_on = asyncio.Event(), asyncio.Event()
+
+    async def stream_slowly(worker: EmulatedWorker, request: web.Request) -> web.StreamResponse:
+        headers = {"X-Request-Id": request.headers["X-Request-Id"], SIGNATURE: "sig"}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(EVENTS[:10])
+        has_begun.set()
+        await may_go_on.wait()
+        await response.write(EVENTS[10:])
+        await response.write_eof()
+        return response
+
+    async with running(tmp_path, decode) as environment:
+        await environment.request_until_served("/advice/x")
+        decode.answers.append(stream_slowly)
+        request = asyncio.create_task(environment.request("/advice/x"))
+        async with asyncio.timeout(WAIT_SECONDS):
+            await has_begun.wait()
+            assert await change(environment, 2) == 200
+        may_go_on.set()
+        response, body = await request
+        assert (response.status, body) == (200, EVENTS)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+async def test_a_request_that_waits_for_a_prefix_is_served_after_its_service_was_removed(
+    tmp_path: Path, change: Change
+) -> None:
+    """Guards against requests that are cut off while the leader postpones their decision."""
+    prefill = EmulatedWorker("p", "wine-llm", "prefill")
+    decode = EmulatedWorker("d", "wine-llm", "decode")
+    async with running(tmp_path, prefill, decode) as environment:
+        await environment.request_until_served("/advice/x", headers=MODEL)
+        gate = Gate(prefill)
+        uncached = {**MODEL, "X-Prefix-Hash": "aa1e07a2:13000,bb402b7d:60000"}
+        first = asyncio.create_task(environment.request("/advice/x", headers=uncached))
+        async with asyncio.timeout(WAIT_SECONDS):
+            await gate.has_arrived.wait()
+        second = asyncio.create_task(environment.request("/advice/x", headers=uncached))
+        await asyncio.sleep(0.2)
+        assert await change(environment, 2) == 200
+        gate.may_go_on.set()
+        for task in (first, second):
+            response, body = await task
+            assert (response.status, body) == (200, EVENTS)
+
+
+async def test_a_body_that_still_arrives_is_routed_by_the_configuration_at_its_end(
+    tmp_path: Path,
+) -> None:
+    """Guards against a request that is cut off while it is read and its service is removed."""
+    old, new = EmulatedWorker("s1", "stock-api"), EmulatedWorker("n1", "new-stock")
+    async with running(tmp_path, old, new) as environment:
+        await environment.request_until_served("/stock/x")
+        reader, writer = await asyncio.open_connection(*environment.front_address(0))
+        writer.write(
+            b"POST /stock/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: slow\r\n"
+            b"Content-Length: 8\r\nConnection: close\r\n\r\nthe "
+        )
+        await writer.drain()
+        assert await replace_services(environment, 2) == 200
+        await environment.request_until_served("/stock/y")
+        writer.write(b"body")
+        async with asyncio.timeout(WAIT_SECONDS):
+            answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert "slow" in new.runs
+        assert "slow" not in old.runs
