Soak: two events that overlap start a program once

Two overlapping events both saw the program not running and started it from two threads; the second could not bind its address, and the first was forgotten while it ran. The same race was there before, in a shorter moment. Change: a machine starts one program at a time and only if it does not run. The soak of lost machines waits until what it killed has ended before it starts it again.

--- a/tests/soak/core_loss_soak.py
+++ b/tests/soak/core_loss_soak.py
@@ -237,6 +237,9 @@
             for program in PROGRAMS:
                 machine.send_signal(program, signal.SIGKILL)
         await asyncio.sleep(DOWN_SECONDS)
+        for machine in core:
+            for program in PROGRAMS:
+                await machine.wait_until_ended(program, GRACE_SECONDS)
         wiped.lose_disk()
         for machine in core:
             machine.disturbed.append(self._now)
--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
@@ -82,6 +83,7 @@
         self.is_gone_since = math.inf
         self._folder = folder / str(number)
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._starting = threading.Lock()
         self._expected_to_end: set[str] = set()
         self._started: set[str] = set() if is_first else set(PROGRAMS)
         self._data.mkdir(parents=True)
@@ -91,10 +93,15 @@
         return self._folder / "data"
 
     def start(self, program: str) -> None:
-        """Start a program, or start it again once it has ended."""
-        former = self._processes.get(program)
-        if former is not None:
-            former.wait()
+        """Start a program, or start it again; nothing happens while it runs.
+
+        Events overlap, so two of them may start the same program from two threads.
+        """
+        with self._starting:
+            if not self.is_running(program):
+                self._start(program)
+
+    def _start(self, program: str) -> None:
         is_first = program not in self._started
         self._started.add(program)
         self._expected_to_end.discard(program)
