Runs of a worker: only for workers whose incarnation is their id

Callers would have seen: a worker with incarnation "x#2" removed when its earlier incarnation "x" says that it left. Found by reading again; no run showed it. The platform names no incarnations.

Cause: WorkerTable.newest_run took any incarnation that ends in "#" and a number for a later run, also where the worker tells its incarnations apart itself. Change: it looks for runs only if the announced incarnation is the worker's id, as the leader does when it assigns them. Evidence: the new test failed before and passes.

--- a/src/orchidpath/state/workers.py
+++ b/src/orchidpath/state/workers.py
@@ -110,8 +110,11 @@
     def newest_run(self, worker_id: str, incarnation: str) -> str:
         """Return the incarnation of the newest run that was announced with an incarnation.
 
-        It is the announced one unless the worker has started anew under it (`next_run`).
+        It is the announced one unless the worker has started anew under it (`next_run`). Only a
+        worker whose incarnation is its id does not tell its runs apart itself.
         """
+        if incarnation != worker_id:
+            return incarnation
         current = self._entries.get(worker_id)
         if current is not None and _is_run_of(current.record.incarnation, incarnation):
             return current.record.incarnation
--- a/tests/control/test_worker_liveness.py
+++ b/tests/control/test_worker_liveness.py
@@ -89,3 +89,13 @@
     leadership.liveness.propose_removals(WORKER_LEASE_SECONDS + 0.1)
     removal = WorkerRemoved(worker_id="w1", incarnation="first", sequence=2)
     assert leadership.output.take_proposals() == [removal]
+
+
+def test_an_incarnation_that_only_looks_like_a_later_run_is_not_removed(
+    leadership: Leadership,
+) -> None:
+    """Guards against the removal of a worker whose earlier incarnation says that it left."""
+    later = worker_record(incarnation="first#2")
+    apply_command(leadership.state, WorkerChanged(record=later, sequence=1))
+    leaving = Announcement(record=worker_record(), sequence=9, leaving=True)
+    assert leadership.announce(leaving) == []
