Routers that have left are looked up until the state shows it, not for ever

Found by reading again, not measured. Change: the confirmation is told once of a departure; what is kept is the incarnation, against late heartbeats.

--- a/src/orchidpath/control/leadership/leader_duties.py
+++ b/src/orchidpath/control/leadership/leader_duties.py
@@ -114,7 +114,7 @@
         self.decisions.refresh_workers()
         self._worker_liveness.propose_removals(now)
         self._router_leases.propose_removals(now)
-        for router_id in self._router_leases.departed():
+        for router_id in self._router_leases.take_departed():
             self.confirmation.router_left(router_id)
         self.confirmation.advance(now)
         self._plan_driver.tick(self.confirmation.confirmed_revision, now)
--- a/src/orchidpath/control/leadership/router_leases.py
+++ b/src/orchidpath/control/leadership/router_leases.py
@@ -40,6 +40,7 @@
         self._adopted: dict[str, int] = {}
         self._incarnations: dict[str, str] = {}
         self._leaving: dict[str, str] = {}
+        self._awaiting_removal: set[str] = set()
 
     @property
     def adopted_revisions(self) -> Mapping[str, int]:
@@ -55,6 +56,7 @@
         if self._leaving.get(router_id) == heartbeat.incarnation:
             return  # A late heartbeat must not register the router again.
         self._leaving.pop(router_id, None)
+        self._awaiting_removal.discard(router_id)
         self._incarnations[router_id] = heartbeat.incarnation
         registered = self._state.find_router(router_id) == heartbeat.record
         age_seconds = self._liveness.seconds_since_heartbeat(router_id, now)
@@ -80,6 +82,7 @@
         if self._incarnations.get(router_id) != leaving.incarnation:
             return
         self._leaving[router_id] = leaving.incarnation
+        self._awaiting_removal.add(router_id)
         self._adopted.pop(router_id, None)
         if not self._has_left(router_id):
             self._output.propose_once(RemoveRouter(router_id=router_id, left=True))
@@ -89,9 +92,11 @@
         )
         self._output.send(router_id, reply)
 
-    def departed(self) -> list[str]:
-        """Return the routers that have left in this leadership, as the state shows."""
-        return [router_id for router_id in self._leaving if self._has_left(router_id)]
+    def take_departed(self) -> list[str]:
+        """Return the routers that have left, as the state shows, since the last call."""
+        departed = [router_id for router_id in self._awaiting_removal if self._has_left(router_id)]
+        self._awaiting_removal.difference_update(departed)
+        return sorted(departed)
 
     def _has_left(self, router_id: str) -> bool:
         is_registered = self._state.find_router(router_id) is not None
--- a/tests/control/test_router_leases.py
+++ b/tests/control/test_router_leases.py
@@ -83,11 +83,12 @@
     leaving = RouterLeaving(router_id="r1", incarnation="first")
     leadership.leases.leave(leaving)
     assert sent_messages(leadership.output) == []
-    assert leadership.leases.departed() == []
+    assert leadership.leases.take_departed() == []
     apply_proposals(leadership)
     assert not leadership.state.is_witness("r1")
     assert leadership.state.witnesses == ("r2",)
-    assert leadership.leases.departed() == ["r1"]
+    assert leadership.leases.take_departed() == ["r1"]
+    assert leadership.leases.take_departed() == []
     leadership.leases.leave(leaving)
     ((router_id, answer),) = sent_messages(leadership.output)
     assert router_id == "r1"
