--- a/tests/soak/core_loss_soak.py
+++ b/tests/soak/core_loss_soak.py
@@ -241,12 +241,24 @@
             for program in PROGRAMS:
                 await machine.wait_until_ended(program, GRACE_SECONDS)
         wiped.lose_disk()
+        self._name_a_running_seed(wiped)
         for machine in core:
             machine.disturbed.append(self._now)
             for program in PROGRAMS:
                 await asyncio.to_thread(machine.start, program)
         self._note("the core has power again")
 
+    def _name_a_running_seed(self, wiped: Machine) -> None:
+        """Name the present machines to an empty one if all machines that it names are gone.
+
+        At each start the settings name machines of the operator's list at that time; without one
+        of them an empty machine can't find its fleet.
+        """
+        present = [machine.host for machine in self._machines if machine is not wiped]
+        if not set(present) & set(wiped.seeds):
+            wiped.seeds = present[:SEED_COUNT]
+            self._note(f"machine {wiped.number} now names {wiped.seeds}")
+
     async def _read_back(self, core: Sequence[Machine]) -> None:
         """Check that every machine of the core returns the newest acknowledged configuration."""
         newest = self._source.document
