--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+WHEELS_STAMP := $(VENV)/.wheels_checked
 
-.PHONY: setup run test format lint types imports unit clean
+.PHONY: setup run test format lint types imports wheels unit clean
 
 setup: $(STAMP)
 
@@ -16,7 +17,7 @@
 run: $(STAMP)
 	$(BIN)/orchidpath fleet run examples/vinbrug.toml
 
-test: format lint types imports unit
+test: format lint types imports wheels unit
 
 format: $(STAMP)
 	$(BIN)/ruff format --check .
@@ -30,6 +31,12 @@
 imports: $(STAMP)
 	$(BIN)/lint-imports
 
+wheels: $(WHEELS_STAMP)
+
+$(WHEELS_STAMP): $(STAMP) deploy/requirements.lock deploy/check_wheels.sh
+	sh deploy/check_wheels.sh $(BIN)/python
+	touch $@
+
 unit: $(STAMP)
 	$(BIN)/python -m pytest -n 4
 
