wire: nothing large is held for a connection without a Hello

100 connections that each send a frame of 8 MiB but for its last byte took a router to 878 MB and a control process to 890 MB (a machine has 300 MB): frames of up to 32 MiB were collected before the handshake.

The first frame is a Hello and is at most 4 KiB; a longer one closes the connection at its header. At most 256 connections without a Hello are open; a further one closes the oldest.

--- a/src/orchidpath/wire/connection.py
+++ b/src/orchidpath/wire/connection.py
@@ -15,7 +15,7 @@
 )
 from orchidpath.wire.errors import HelloError, SlowPeerError
 from orchidpath.wire.framing import FrameDecoder, FrameError, encode_frame
-from orchidpath.wire.handshake import Handshake
+from orchidpath.wire.handshake import MAX_HELLO_BYTES, Handshake
 from orchidpath.wire.keepalive import set_keepalive
 from orchidpath.wire.link_faults import Fate, LinkFaults
 from orchidpath.wire.messages import Message
@@ -68,7 +68,7 @@
         self._callbacks = ConnectionCallbacks(on_connect, on_message, on_close)
         self._faults = faults
         self._max_outgoing_bytes = max_outgoing_bytes
-        self._decoder = FrameDecoder()
+        self._decoder = FrameDecoder(MAX_HELLO_BYTES)
         self._transport: asyncio.Transport | None = None
         self._send_buffer: SendBuffer | None = None
 
--- a/src/orchidpath/wire/framing.py
+++ b/src/orchidpath/wire/framing.py
@@ -93,9 +93,16 @@
 
 
 class FrameDecoder:
-    """Decodes a stream of bytes into messages, whatever the sizes of the received chunks."""
+    """Decodes a stream of bytes into messages, whatever the sizes of the received chunks.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_first_frame_bytes
+        Largest payload of the first frame; None for that of every frame.
+    """
+
+    def __init__(self, max_first_frame_bytes: int | None = None) -> None:
+        self._max_first_frame_bytes = max_first_frame_bytes
         self._buffer = bytearray()
         self._start = 0
         self._error: FrameError | None = None
@@ -139,15 +146,15 @@
         if len(self._buffer) < payload_start:
             return None
         length, checksum = _HEADER.unpack_from(self._buffer, self._start)
-        if length > MAX_FRAME_BYTES:
-            raise FrameTooLargeError(
-                f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"
-            )
+        limit = self._max_first_frame_bytes or MAX_FRAME_BYTES
+        if length > limit:
+            raise FrameTooLargeError(f"frame of {length} bytes exceeds the limit of {limit} bytes")
         payload_end = payload_start + length
         if len(self._buffer) < payload_end:
             return None
         payload = bytes(memoryview(self._buffer)[payload_start:payload_end])
         self._start = payload_end
+        self._max_first_frame_bytes = None
         return _decode_payload(payload, checksum)
 
     def _compact(self) -> None:
--- a/src/orchidpath/wire/handshake.py
+++ b/src/orchidpath/wire/handshake.py
@@ -10,6 +10,9 @@
 HELLO_TIMEOUT_SECONDS = 2.0
 """A connection on which no Hello was received within this time is closed."""
 
+MAX_HELLO_BYTES = 4096
+"""Largest payload of a Hello; anyone can connect, and nothing larger is held for a stranger."""
+
 
 class Handshake:
     """State of a handshake: the Hello of this end, the Hello of the other end, and the timeout.
--- a/src/orchidpath/wire/listener.py
+++ b/src/orchidpath/wire/listener.py
@@ -13,9 +13,13 @@
     ignore_connection,
     ignore_message,
 )
+from orchidpath.wire.errors import HelloError
 from orchidpath.wire.link_faults import LinkFaults
 from orchidpath.wire.messages.membership_messages import Hello
 
+MAX_PENDING_CONNECTIONS = 256
+"""Connections without a Hello that are open at once; for a further one, the oldest is closed."""
+
 
 class Listener:
     """Accepts connections at one address.
@@ -50,6 +54,7 @@
         self._faults = faults
         self._server: asyncio.Server | None = None
         self._connections: set[Connection] = set()
+        self._pending: dict[Connection, None] = {}
 
     async def start(self) -> None:
         """Bind and listen.
@@ -77,15 +82,31 @@
         await asyncio.sleep(0)
 
     def _make_connection(self) -> Connection:
-        return Connection(
+        self._make_room()
+        connection = Connection(
             self.hello,
             self._connected,
             self._callbacks.on_message,
             self._disconnected,
             faults=self._faults,
         )
+        self._pending[connection] = None
+        return connection
+
+    def _make_room(self) -> None:
+        """Close the oldest connection without a Hello if too many are open."""
+        if len(self._pending) < MAX_PENDING_CONNECTIONS:
+            return
+        for connection in tuple(self._pending):
+            if connection.closed.is_set():
+                del self._pending[connection]
+        if len(self._pending) >= MAX_PENDING_CONNECTIONS:
+            oldest = next(iter(self._pending))
+            del self._pending[oldest]
+            oldest.abort(HelloError("too many connections without a Hello"))
 
     def _connected(self, connection: Connection) -> None:
+        self._pending.pop(connection, None)
         self._connections.add(connection)
         self._callbacks.on_connect(connection)
 
