control: one bound on the bodies and the connections of all callers together

The limit on one body does not bound what many take at once.

RequestMemory bounds the bytes held for all requests: when they exceed it, incomplete requests are refused with 503, the oldest first, and a large complete request is refused while others take most of it. Bodies are read through it (wire/http_bodies.py), also on the fleet's own HTTP edge; an announced length over the limit is refused before a byte is read, announcements are at most 256 KiB. BoundedHttpServer closes the oldest connection when too many are open.

--- a/src/orchidpath/control/api/operator_api.py
+++ b/src/orchidpath/control/api/operator_api.py
@@ -22,6 +22,7 @@
 import structlog
 from aiohttp import web
 
+from orchidpath.common.request_memory import RequestMemory
 from orchidpath.control.api.control_access import ControlAccess
 from orchidpath.control.api.operator_bodies import (
     Accepted,
@@ -44,6 +45,9 @@
     worker_body,
 )
 from orchidpath.control.api.responses import (
+    MAX_ANNOUNCEMENT_BYTES,
+    MAX_BODY_BYTES,
+    REQUEST_MEMORY_BYTES,
     answer_errors,
     error_response,
     json_response,
@@ -59,9 +63,7 @@
     InvalidConfigurationError,
     parse_configuration,
 )
-
-MAX_BODY_BYTES = 8 * 1024 * 1024
-"""Upper bound on the body of a request; a configuration is sent as one body."""
+from orchidpath.wire.http_bodies import share_request_memory
 
 _log = structlog.get_logger(__name__)
 
@@ -79,7 +81,9 @@
     registry
         Registry whose metrics ``GET /metrics`` exposes.
     """
-    app = web.Application(middlewares=[answer_errors], client_max_size=MAX_BODY_BYTES)
+    memory = RequestMemory(REQUEST_MEMORY_BYTES)
+    memory.permit(MAX_BODY_BYTES)
+    app = web.Application(middlewares=[answer_errors, share_request_memory(memory)])
     api = _OperatorApi(access, registry)
     app.router.add_get("/v1/configuration", api.get_configuration)
     app.router.add_put("/v1/configuration", api.put_configuration)
@@ -213,7 +217,7 @@
 
     async def post_announcement(self, request: web.Request) -> web.Response:
         """``POST /v1/workers/announce`` with an announcement: 200, or 503 if it is not accepted."""
-        announcement = decode_announcement(await read_body(request))
+        announcement = decode_announcement(await read_body(request, MAX_ANNOUNCEMENT_BYTES))
         reply = await self._access.forward_announcement(announcement)
         response = json_response(reply, status=200 if reply.accepted else 503)
         if not reply.accepted:
--- a/src/orchidpath/control/api/responses.py
+++ b/src/orchidpath/control/api/responses.py
@@ -1,6 +1,5 @@
 """Helpers that read requests and write responses, shared by the operators' API and its plan API."""
 
-import asyncio
 import math
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +15,19 @@
     OperatorErrorBody,
     OperatorErrorCode,
 )
+from orchidpath.wire.http_bodies import read_body as read_bounded_body
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Upper bound on the body of a request; a configuration is sent as one body."""
+
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+"""Upper bound on the body of a worker's announcement."""
+
+REQUEST_MEMORY_BYTES = 32 * 1024 * 1024
+"""Bound on the bodies that a control process holds for all requests together.
+
+A configuration takes several times its size while it is decoded and committed.
+"""
 
 BODY_TIMEOUT_SECONDS = 10.0
 """Bound on the arrival of a request's body; a slower request gets status 408."""
@@ -48,8 +60,9 @@
     except web.HTTPException as error:
         code = _CODES_BY_HTTP_STATUS.get(error.status, OperatorErrorCode.REFUSED)
         response = error_response(error.status, code, error.reason)
-        if "Allow" in error.headers:
-            response.headers["Allow"] = error.headers["Allow"]
+        for name in ("Allow", "Retry-After"):
+            if name in error.headers:
+                response.headers[name] = error.headers[name]
         return response
     except Exception as error:  # noqa: BLE001 - the outermost handler of a request
         _log.exception("request_failed", path=request.path, error=str(error))
@@ -58,19 +71,16 @@
         )
 
 
-async def read_body(request: web.Request) -> bytes:
+async def read_body(request: web.Request, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return the body of a request.
 
     Raises
     ------
-    web.HTTPRequestTimeout
-        The body did not arrive within `BODY_TIMEOUT_SECONDS`.
+    web.HTTPException
+        The body is too large (413), did not arrive within `BODY_TIMEOUT_SECONDS` (408), or there
+        is no memory for it (503).
     """
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-            return await request.read()
-    except TimeoutError as error:
-        raise web.HTTPRequestTimeout from error
+    return await read_bounded_body(request, max_bytes, BODY_TIMEOUT_SECONDS)
 
 
 def error_response(
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -43,6 +43,7 @@
 from orchidpath.control.worker_commands import WorkerCommandFormat, WorkerCommandSender
 from orchidpath.wire.backend import WorkerCommand, WorkerCommandReply
 from orchidpath.wire.connection import Connection
+from orchidpath.wire.http_server import BoundedHttpServer
 from orchidpath.wire.link_faults import LinkFaults, watch_fault_file
 from orchidpath.wire.messages import (
     Hello,
@@ -142,7 +143,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._worker_commands.close()
         await self._connections.close()
-        await self._http_runner.cleanup()
+        await self._http_server.close()
         self._storage.close()
 
     async def reload(self, settings: ControlSettings) -> None:
@@ -227,12 +228,8 @@
         add_plan_routes(app, self._access)
         if self._add_routes is not None:
             self._add_routes(app, self._access)
-        self._http_runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=HTTP_SHUTDOWN_SECONDS
-        )
-        await self._http_runner.setup()
-        host, port = self._settings.http_address.rsplit(":", 1)
-        await web.TCPSite(self._http_runner, host, int(port)).start()
+        self._http_server = BoundedHttpServer(app, shutdown_seconds=HTTP_SHUTDOWN_SECONDS)
+        await self._http_server.start(self._settings.http_address)
 
     async def _run_replica(self) -> None:
         while True:
--- a/src/orchidpath/router/chat/http_edge.py
+++ b/src/orchidpath/router/chat/http_edge.py
@@ -15,11 +15,13 @@
 
 from orchidpath.common.clock import Clock
 from orchidpath.common.logs import Logger, get_logger
+from orchidpath.common.request_memory import RequestMemory
 from orchidpath.common.settings import RouterSettings
 from orchidpath.router.background_tasks import BackgroundTasks
 from orchidpath.router.chat.backend_client import BackendClient
 from orchidpath.router.chat.http_errors import error_response, refusal
 from orchidpath.router.chat.http_intake import (
+    MAXIMUM_BODY_BYTES,
     Intake,
     RefusedError,
     admission_error,
@@ -46,11 +48,17 @@
 from orchidpath.routing.admission import Rejected
 from orchidpath.wire.announcements import InvalidAnnouncementError, decode_announcement
 from orchidpath.wire.backend import ErrorBody, ErrorCode, Ran
+from orchidpath.wire.http_bodies import (
+    NO_MEMORY_RETRY_SECONDS,
+    read_body,
+    share_request_memory,
+)
+from orchidpath.wire.http_server import BoundedHttpServer
 from orchidpath.wire.messages import AttemptReport, CircuitsView, CounterReport
 from orchidpath.wire.records import FleetView
 
-MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
-"""Maximum size of a request body that is read into memory."""
+MAXIMUM_ANNOUNCEMENT_BYTES = 256 * 1024
+"""Maximum size of a worker's announcement."""
 
 BODY_TIMEOUT_SECONDS = 10.0
 """A request whose body takes longer to arrive is rejected; nothing of it was dispatched."""
@@ -105,28 +113,24 @@
         self._tasks = BackgroundTasks()
         self._health = HealthPages(fleet, self._drain, clock)
         self._client: BackendClient | None = None
-        self._runner: web.AppRunner | None = None
+        self._server: BoundedHttpServer | None = None
 
     @property
     def address(self) -> str:
         """``IP:port`` on which the server listens; available after :meth:`start`."""
-        assert self._runner is not None
-        host, port = self._runner.addresses[0][:2]
-        return f"{host}:{port}"
+        assert self._server is not None
+        return self._server.address
 
     async def start(self) -> None:
         """Listen for requests; raise OSError if the address cannot be bound."""
         self._client = BackendClient()
         # When a caller disconnects, its handler is cancelled, and that cancels the attempt.
-        self._runner = web.AppRunner(
+        self._server = BoundedHttpServer(
             self._application(),
-            access_log=None,
+            shutdown_seconds=SHUTDOWN_GRACE_SECONDS,
             handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_GRACE_SECONDS,
         )
-        await self._runner.setup()
-        host, _, port = self._settings.http_address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await self._server.start(self._settings.http_address)
 
     async def stop(self, drain_seconds: float) -> None:
         """Reject new requests, let running ones finish for a bounded time, then close.
@@ -139,8 +143,8 @@
         self._drain.begin()
         if not await self._drain.wait_until_idle(drain_seconds):
             self._logger.warning("requests_cut_off", count=self._drain.in_flight)
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.close()
         await self._tasks.close(SHUTDOWN_GRACE_SECONDS)
         if self._client is not None:
             await self._client.close()
@@ -160,8 +164,10 @@
         return self._state.fallback.counter_report(term, self._clock(), unacknowledged)
 
     def _application(self) -> web.Application:
+        memory = RequestMemory()
+        memory.permit(MAXIMUM_BODY_BYTES)
         application = web.Application(
-            client_max_size=MAXIMUM_BODY_BYTES, middlewares=[self._answer_errors]
+            middlewares=[self._answer_errors, share_request_memory(memory)]
         )
         router = application.router
         router.add_get("/health/live", self._health.live)
@@ -177,7 +183,8 @@
 
     async def _announce(self, request: web.Request) -> web.StreamResponse:
         try:
-            announcement = decode_announcement(await request.read())
+            body = await read_body(request, MAXIMUM_ANNOUNCEMENT_BYTES, BODY_TIMEOUT_SECONDS)
+            announcement = decode_announcement(body)
         except InvalidAnnouncementError as problem:
             return error_response(refusal(ErrorCode.BAD_REQUEST, str(problem), ""))
         reply = await self._fleet.announce(announcement)
@@ -303,6 +310,12 @@
         """Answer errors of handlers and of the HTTP library in the common error format."""
         try:
             return await handler(request)
+        except web.HTTPServiceUnavailable:
+            message = "too many requests are arriving"
+            retry_seconds = float(NO_MEMORY_RETRY_SECONDS)
+            return self._refuse(
+                refusal(ErrorCode.OVERLOADED, message, "", retry_after_seconds=retry_seconds)
+            )
         except web.HTTPException as refused:
             error = refusal(ErrorCode.BAD_REQUEST, refused.reason, "")
             response = error_response(error)
--- a/src/orchidpath/router/chat/http_intake.py
+++ b/src/orchidpath/router/chat/http_intake.py
@@ -18,6 +18,7 @@
 from orchidpath.routing.route_table import RouteMatch
 from orchidpath.wire.backend import ErrorBody, ErrorCode, Ran
 from orchidpath.wire.configuration import ServiceKind
+from orchidpath.wire.http_bodies import read_body
 
 TENANT_HEADER = "x-tenant"
 DEADLINE_HEADER = "x-deadline-seconds"
@@ -32,6 +33,10 @@
 REQUEST_ID_BITS = 128
 
 
+MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
+"""Maximum size of a request body that is read into memory."""
+
+
 class RefusedError(OrchidpathError):
     """The request is rejected; ``error`` is the body of the response."""
 
@@ -57,6 +62,17 @@
     return f"{random.getrandbits(REQUEST_ID_BITS):032x}"
 
 
+async def read_request_body(request: web.Request) -> bytes:
+    """Return the body of a caller's request, whose time the caller of this function bounds.
+
+    Raises
+    ------
+    web.HTTPException
+        The body is too large (413), or there is no memory for it (503).
+    """
+    return await read_body(request, MAXIMUM_BODY_BYTES, None)
+
+
 async def read_chat(
     request: web.Request, request_id: str, state: RoutingState, now: float
 ) -> Intake:
@@ -84,7 +100,7 @@
         If the body is not a chat completion request, no route matches its model, or its deadline
         header is invalid.
     """
-    body = _decode_chat(await request.read(), request_id)
+    body = _decode_chat(await read_request_body(request), request_id)
     match = state.routes.match_chat(body.model)
     if match is None:
         raise _refused(ErrorCode.UNKNOWN_ROUTE, f"no route for model {body.model!r}", request_id)
@@ -120,7 +136,7 @@
     if match is None:
         message = f"no route for {request.method} {request.path}"
         raise _refused(ErrorCode.UNKNOWN_ROUTE, message, request_id)
-    body = await request.read() or b"null"
+    body = await read_request_body(request) or b"null"
     try:
         msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError) as problem:
--- /dev/null
+++ b/src/orchidpath/wire/http_bodies.py
@@ -0,0 +1,107 @@
+"""Reads the bodies of an aiohttp application within a bound on the memory that all of them take.
+
+aiohttp bounds the body of one request. :func:`share_request_memory` gives each request a share of
+one memory, which :func:`read_body` charges with the bytes that arrive.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.typedefs import Middleware
+
+from orchidpath.common.request_memory import RequestMemory, RequestShare
+
+NO_MEMORY_RETRY_SECONDS = 1
+"""``Retry-After`` of a request that is refused because other requests take the memory."""
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def share_request_memory(memory: RequestMemory) -> Middleware:
+    """Return a middleware that lets the handlers use :func:`read_body`.
+
+    Parameters
+    ----------
+    memory
+        Memory for the bodies of all requests, each of which is held until its request is answered.
+    """
+
+    @web.middleware
+    async def share_memory(request: web.Request, handler: _Handler) -> web.StreamResponse:
+        body_share = _BodyShare(memory)
+        request[_SHARE] = body_share
+        try:
+            return await handler(request)
+        finally:
+            body_share.release()
+
+    return share_memory
+
+
+async def read_body(request: web.Request, max_bytes: int, timeout_seconds: float | None) -> bytes:
+    """Return the body of a request; ``timeout_seconds`` bounds its arrival, if it is not None.
+
+    Raises
+    ------
+    web.HTTPException
+        The body is too large (413), too slow (408), or there is no memory for it (503).
+    """
+    return await request[_SHARE].read(request, max_bytes, timeout_seconds)
+
+
+class _BodyShare:
+    """Share of the server's memory that the body of one request takes."""
+
+    def __init__(self, memory: RequestMemory) -> None:
+        self._share: RequestShare = memory.new_share(self._shed)
+        self._is_shed = False
+        self._timeout: asyncio.Timeout | None = None
+
+    def release(self) -> None:
+        """Give the memory back."""
+        self._share.release()
+
+    async def read(
+        self, request: web.Request, max_bytes: int, timeout_seconds: float | None
+    ) -> bytes:
+        """Read a body, see :func:`read_body`."""
+        announced_bytes = request.content_length or 0
+        if announced_bytes > max_bytes:
+            raise web.HTTPRequestEntityTooLarge(max_bytes, announced_bytes)
+        try:
+            async with asyncio.timeout(timeout_seconds) as self._timeout:
+                body = await self._collect(request, max_bytes)
+        except TimeoutError as error:
+            if self._is_shed:
+                raise _no_memory() from error
+            raise web.HTTPRequestTimeout from error
+        finally:
+            self._timeout = None
+        if self._is_shed or not self._share.try_complete():
+            raise _no_memory()
+        return body
+
+    async def _collect(self, request: web.Request, max_bytes: int) -> bytes:
+        body = bytearray()
+        while part := await request.content.readany():
+            body += part
+            if len(body) > max_bytes:
+                raise web.HTTPRequestEntityTooLarge(max_bytes, len(body))
+            self._share.resize(len(body))
+            if self._is_shed:
+                break
+        return bytes(body)
+
+    def _shed(self) -> None:
+        """End the read at once: it then refuses the request."""
+        self._is_shed = True
+        if self._timeout is not None:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+
+_SHARE = web.RequestKey("request_share", _BodyShare)
+
+
+def _no_memory() -> web.HTTPServiceUnavailable:
+    return web.HTTPServiceUnavailable(headers={"Retry-After": str(NO_MEMORY_RETRY_SECONDS)})
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -14,7 +14,7 @@
 from orchidpath.consensus.types import Role
 from orchidpath.control.api import responses
 from orchidpath.control.api.control_access import ControlAccess, UnavailableError
-from orchidpath.control.api.operator_api import MAX_BODY_BYTES, create_operator_app
+from orchidpath.control.api.operator_api import create_operator_app
 from orchidpath.control.api.operator_bodies import Accepted, StatusBody, SubmitResult, SubmitStatus
 from orchidpath.state import commands
 from orchidpath.state.commands import (
@@ -379,7 +379,7 @@
     assert response.status == 405
     assert "PUT" in response.headers["Allow"]
     assert (await response.json())["error"]["code"] == "method_not_allowed"
-    status, body = await put(client, b" " * (MAX_BODY_BYTES + 1))
+    status, body = await put(client, b" " * (responses.MAX_BODY_BYTES + 1))
     assert (status, body["error"]["code"]) == (413, "too_large")
     monkeypatch.setattr(access, "status", lambda: 1 / 0)
     status, body = await get(client, "/v1/status")
--- a/tests/router/test_router_input_fuzz.py
+++ b/tests/router/test_router_input_fuzz.py
@@ -65,7 +65,13 @@
         self.headers = headers or {}
         self._body = body
 
-    async def read(self) -> bytes:
+    def __getitem__(self, key: object) -> "FakeRequest":
+        """Return the share of the memory, which is this object as well."""
+        return self
+
+    async def read(self, request: "FakeRequest", max_bytes: int, timeout: float | None) -> bytes:
+        assert request is self
+        assert len(self._body) <= max_bytes
         return self._body
 
 
