router: one bound on what all callers send together, and turns to parse it

A router took 510 to 567 MB under 100 bodies of 4 MiB that lack their last byte or are complete, 1.7 GB over bytes sent after a request, and was silent for more than two minutes while callers sent chunks of one byte; the port of probes took bodies of 32 MiB. 612 idle connections took all of 512 descriptors.

What a connection receives is charged to RequestMemory, and a connection with 64 KiB that are not parsed yet receives no more. After 64 parsed events it waits for a turn, one for each turn of the event loop. An announced length over the limit is refused at its head, with the answer left to be read. A caller that does not read holds its response up. Beyond 2048 connections (half of the descriptors), the one that has served no request for the longest time is closed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 WHEELS_STAMP := $(VENV)/.wheels_checked
 
-.PHONY: setup run test format lint types imports wheels unit clean
+.PHONY: setup run test format lint types imports wheels unit hostile clean
 
 setup: $(STAMP)
 
@@ -17,7 +17,7 @@
 run: $(STAMP)
 	$(BIN)/orchidpath fleet run examples/vinbrug.toml
 
-test: format lint types imports wheels unit
+test: format lint types imports wheels unit hostile
 
 format: $(STAMP)
 	$(BIN)/ruff format --check .
@@ -38,7 +38,10 @@
 	touch $@
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 4 --ignore tests/hostile
+
+hostile: $(STAMP)
+	$(BIN)/python -m pytest tests/hostile
 
 clean:
 	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache
--- a/src/orchidpath/router/proxy/proxy_edge.py
+++ b/src/orchidpath/router/proxy/proxy_edge.py
@@ -9,7 +9,9 @@
 from random import Random
 
 from orchidpath.common.clock import Clock
+from orchidpath.common.descriptors import connections_within
 from orchidpath.common.logs import Logger, get_logger
+from orchidpath.common.request_memory import RequestMemory
 from orchidpath.common.settings import RouterSettings
 from orchidpath.forwarding.progress import RetryAfterRange
 from orchidpath.forwarding.split import WeightedSplit
@@ -17,12 +19,13 @@
 from orchidpath.router.decision_maker import DecisionMaker
 from orchidpath.router.drain import DrainState
 from orchidpath.router.fleet_link.fleet_access import FleetAccess
+from orchidpath.router.proxy.caller_connection import CallerConnection
 from orchidpath.router.proxy.protocol_mapping import MalformedRequestError, ProtocolMapping
 from orchidpath.router.proxy.proxy_attempts import ProxyEnvironment
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest
 from orchidpath.router.proxy.proxy_metrics import ProxyMetrics
 from orchidpath.router.proxy.proxy_runner import ProxyRunner
-from orchidpath.router.proxy.proxy_server import CallerConnection, ProxyServer
+from orchidpath.router.proxy.proxy_server import DEFAULT_MAX_CONNECTIONS, ProxyServer
 from orchidpath.router.proxy.upstream import UpstreamPool
 from orchidpath.router.routing_state import RoutingState
 from orchidpath.wire.configuration import EdgeLimits
@@ -38,6 +41,17 @@
 TASKS_GRACE_SECONDS = 0.3
 """Time that background tasks get to finish after the last request."""
 
+CALLERS_DESCRIPTOR_PART = 0.5
+"""Part of the process's descriptors for connections of callers; workers need most of the rest."""
+
+MAX_PROBE_CONNECTIONS = 256
+"""Largest number of open connections for health and metrics."""
+
+PROBES_DESCRIPTOR_PART = 0.125
+"""Part of the process's descriptors for connections for health and metrics."""
+
+PROBE_LIMITS = EdgeLimits(max_header_bytes=16_384, max_body_bytes=65_536)
+"""Limits on requests for health and metrics, which need no body."""
 
 NOT_FRESH_RETRY_AFTER = RetryAfterRange(shortest_seconds=1.0, longest_seconds=1.6)
 """Range of the Retry-After of a router that has lost its lease."""
@@ -115,11 +129,24 @@
             random=random,
             clock=clock,
         )
+        self._memory = RequestMemory()
         self._callers = ProxyServer(
-            settings.forward_address, self._serve, self._limits, self._is_draining, clock
+            settings.forward_address,
+            self._serve,
+            self._limits,
+            self._is_draining,
+            clock,
+            self._memory,
+            connections_within(DEFAULT_MAX_CONNECTIONS, CALLERS_DESCRIPTOR_PART),
         )
         self._probes = ProxyServer(
-            settings.http_address, self._probe, EdgeLimits, self._is_draining, clock
+            settings.http_address,
+            self._probe,
+            lambda: PROBE_LIMITS,
+            self._is_draining,
+            clock,
+            self._memory,
+            connections_within(MAX_PROBE_CONNECTIONS, PROBES_DESCRIPTOR_PART),
         )
         self._sweep_task: asyncio.Task[None] | None = None
         self._started_at = clock()
@@ -184,7 +211,9 @@
         return self._state.fallback.counter_report(term, self._clock(), unacknowledged)
 
     def _limits(self) -> EdgeLimits:
-        return self._state.configuration.edge_limits
+        limits = self._state.configuration.edge_limits
+        self._memory.permit(limits.max_body_bytes)
+        return limits
 
     def _is_draining(self) -> bool:
         return self._drain.is_draining
--- a/src/orchidpath/router/proxy/proxy_runner.py
+++ b/src/orchidpath/router/proxy/proxy_runner.py
@@ -17,10 +17,10 @@
 from orchidpath.forwarding.proxy.proxy_machine import ProxyMachine
 from orchidpath.placement.prefill_placement import MAX_DECODE_SIDE_PREFILL_TOKENS
 from orchidpath.router.decision_maker import DecisionSubject
+from orchidpath.router.proxy.caller_connection import CallerConnection, CallerDisconnectedError
 from orchidpath.router.proxy.protocol_mapping import RequestMetadata
 from orchidpath.router.proxy.proxy_attempts import ProxyAttempts, ProxyEnvironment
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest
-from orchidpath.router.proxy.proxy_server import CallerConnection, CallerDisconnectedError
 from orchidpath.router.proxy.response_relay import ResponseRelay
 from orchidpath.router.proxy.worker_exchange import WorkerExchange, release_handle
 from orchidpath.routing.ring import request_key
--- a/src/orchidpath/router/proxy/response_relay.py
+++ b/src/orchidpath/router/proxy/response_relay.py
@@ -6,9 +6,9 @@
 
 from orchidpath.forwarding.event_boundary import EventBoundary
 from orchidpath.forwarding.resumable_stream import DiscontinuousStreamError, ResumableStream
+from orchidpath.router.proxy.caller_connection import CallerConnection
 from orchidpath.router.proxy.protocol_mapping import Header
 from orchidpath.router.proxy.proxy_messages import ResponseHead
-from orchidpath.router.proxy.proxy_server import CallerConnection
 from orchidpath.router.proxy.upstream import BrokenResponseError
 
 
@@ -77,6 +77,10 @@
         if part:
             self._caller.send_body(part)
 
+    async def wait_until_writable(self) -> None:
+        """Wait until the caller has read enough of what was written to it."""
+        await self._caller.wait_until_writable()
+
     def end(self, *, ends_with_connection: bool) -> None:
         """Write the end of the response, after what is buffered of the stream.
 
--- a/src/orchidpath/router/proxy/worker_exchange.py
+++ b/src/orchidpath/router/proxy/worker_exchange.py
@@ -194,6 +194,7 @@
             part = self._first_part
             while part is not None:
                 response.write_part(part)
+                await response.wait_until_writable()
                 part = await connection.read_body()
             response.end(ends_with_connection=head.ends_with_connection)
         except BrokenResponseError:
--- a/tests/router/proxy_recording.py
+++ b/tests/router/proxy_recording.py
@@ -22,12 +22,12 @@
 from orchidpath.router.background_tasks import BackgroundTasks
 from orchidpath.router.chat.chat_api import TraceEntry
 from orchidpath.router.decision_maker import DecisionSubject
+from orchidpath.router.proxy.caller_connection import CallerDisconnectedError
 from orchidpath.router.proxy.protocol_mapping import Header, ProtocolMapping
 from orchidpath.router.proxy.proxy_attempts import ProxyEnvironment
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest, ResponseHead
 from orchidpath.router.proxy.proxy_metrics import ProxyMetrics
 from orchidpath.router.proxy.proxy_runner import ProxyRunner
-from orchidpath.router.proxy.proxy_server import CallerDisconnectedError
 from orchidpath.router.proxy.upstream import BrokenResponseError, NoConnectionError
 from orchidpath.routing.request.events import (
     DecisionMade,
@@ -606,6 +606,9 @@
     def send_response(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         self._write("answer", status, list(headers), body)
 
+    async def wait_until_writable(self) -> None:
+        """Return at once: this caller reads everything."""
+
     def abort(self) -> None:
         self._log.add("caller", "broken_off")
 
--- a/tests/router/test_proxy_server.py
+++ b/tests/router/test_proxy_server.py
@@ -7,8 +7,9 @@
 import pytest
 
 from orchidpath.common.clock import monotonic_seconds
+from orchidpath.router.proxy.caller_connection import CallerConnection
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest, ResponseHead
-from orchidpath.router.proxy.proxy_server import CallerConnection, ProxyServer
+from orchidpath.router.proxy.proxy_server import ProxyServer
 from orchidpath.wire.configuration import EdgeLimits
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: shop\r\n\r\n"
