router: metrics of rejected requests and closed connections; a worker waits for a slow caller

An operator could not see that requests are refused before they are read, or connections closed for room: orchidpath_rejected_requests_total by status and orchidpath_connections_closed_for_room_total.

Since a slow caller holds its response up, what its worker sends would have been collected at the worker's connection instead: it receives no more while 256 KiB of a response are not read.

--- a/src/orchidpath/router/proxy/caller_connection.py
+++ b/src/orchidpath/router/proxy/caller_connection.py
@@ -65,6 +65,10 @@
         """Record that a request of a connection was answered."""
         raise NotImplementedError
 
+    def request_rejected(self, status: int) -> None:
+        """Record that a request was rejected before it was read completely."""
+        raise NotImplementedError
+
     def connection_closed(self, connection: "CallerConnection") -> None:
         """Forget a connection."""
         raise NotImplementedError
@@ -226,6 +230,7 @@
         """Answer a request that was not read completely, and let the caller read the answer."""
         if self._transport is None or self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
+        self._owner.request_rejected(rejected.status)
         headers: list[Header] = []
         if rejected.retry_after_seconds is not None:
             headers.append((b"retry-after", b"%.2f" % rejected.retry_after_seconds))
--- a/src/orchidpath/router/proxy/proxy_edge.py
+++ b/src/orchidpath/router/proxy/proxy_edge.py
@@ -138,6 +138,7 @@
             clock,
             self._memory,
             connections_within(DEFAULT_MAX_CONNECTIONS, CALLERS_DESCRIPTOR_PART),
+            self._metrics,
         )
         self._probes = ProxyServer(
             settings.http_address,
@@ -147,6 +148,7 @@
             clock,
             self._memory,
             connections_within(MAX_PROBE_CONNECTIONS, PROBES_DESCRIPTOR_PART),
+            self._metrics,
         )
         self._sweep_task: asyncio.Task[None] | None = None
         self._started_at = clock()
--- a/src/orchidpath/router/proxy/proxy_metrics.py
+++ b/src/orchidpath/router/proxy/proxy_metrics.py
@@ -14,6 +14,16 @@
         self.attempts = self._metrics.counter(
             "forward_attempts", "Orders to workers by stage and effect.", ("stage", "effect")
         )
+        self.rejected = self._metrics.counter(
+            "rejected_requests", "Requests rejected before they were read completely.", ("status",)
+        )
+        self.closed_for_room = self._metrics.counter(
+            "connections_closed_for_room", "Connections closed because too many were open."
+        )
+
+    def count_rejected(self, status: int) -> None:
+        """Count a request that was rejected before it was read completely, by its status."""
+        self.rejected.labels(str(status)).inc()
 
     def count_outcome(self, route: str, outcome: str) -> None:
         """Count a request by its outcome: an HTTP status, or why it was abandoned."""
--- a/src/orchidpath/router/proxy/proxy_server.py
+++ b/src/orchidpath/router/proxy/proxy_server.py
@@ -12,6 +12,7 @@
     ConnectionOwner,
     RequestHandler,
 )
+from orchidpath.router.proxy.proxy_metrics import ProxyMetrics
 from orchidpath.router.proxy.request_reader import ReadingLimits
 from orchidpath.wire.configuration import EdgeLimits
 
@@ -42,6 +43,8 @@
     max_connections
         Largest number of open connections. For a further one, the connection is closed that has
         not carried a request for the longest time; without such a one, the further one is.
+    metrics
+        Counts rejected requests and closed connections; by default, metrics of this server alone.
     """
 
     def __init__(
@@ -53,13 +56,14 @@
         clock: Clock,
         memory: RequestMemory | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        metrics: ProxyMetrics | None = None,
     ) -> None:
         super().__init__(
             handle, is_draining, ReadingLimits(limits, memory or RequestMemory(), clock)
         )
         self.address = address
         self.connections: OrderedDict[CallerConnection, None] = OrderedDict()
-        self.closed_for_room = 0
+        self._metrics = metrics or ProxyMetrics()
         self._max_connections = max_connections
         self._server: asyncio.Server | None = None
         self._connection_closed = asyncio.Event()
@@ -96,7 +100,7 @@
     def connection_opened(self, connection: CallerConnection) -> bool:
         """Register a connection; return False if there is no room for it."""
         if len(self.connections) >= self._max_connections and not self._close_one():
-            self.closed_for_room += 1
+            self._metrics.closed_for_room.inc()
             return False
         self.connections[connection] = None
         return True
@@ -106,6 +110,10 @@
         if connection in self.connections:
             self.connections.move_to_end(connection)
 
+    def request_rejected(self, status: int) -> None:
+        """Count a request that was rejected before it was read completely."""
+        self._metrics.count_rejected(status)
+
     def connection_closed(self, connection: CallerConnection) -> None:
         """Forget a connection."""
         self.connections.pop(connection, None)
@@ -144,6 +152,6 @@
             if not connection.is_serving:
                 del self.connections[connection]
                 connection.abort()
-                self.closed_for_room += 1
+                self._metrics.closed_for_room.inc()
                 return True
         return False
--- a/src/orchidpath/router/proxy/upstream.py
+++ b/src/orchidpath/router/proxy/upstream.py
@@ -35,6 +35,9 @@
 UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 900
 """``TCP_USER_TIMEOUT``: a connection is lost if sent data is not acknowledged for this long."""
 
+MAX_UNREAD_BYTES = 262_144
+"""A worker's connection receives no more while this much of a response is not read."""
+
 KEEPALIVE_IDLE_SECONDS = 1
 """``TCP_KEEPIDLE``, ``TCP_KEEPINTVL``: time without a byte after which the kernel probes."""
 
@@ -79,6 +82,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._parse_problem = ""
         self._lost_problem = ""
+        self._unread_bytes = 0
         self._max_idle_seconds = MAX_IDLE_SECONDS
         self.is_in_use = False
         self.idle_since = clock()
@@ -104,6 +108,7 @@
             self.close()
             return
         self._receive(data)
+        self._set_unread(self._unread_bytes + len(data))
         self._wake()
 
     def eof_received(self) -> bool:
@@ -209,6 +214,7 @@
         It is also closed if surplus bytes arrived or the request is still being written.
         """
         transport = self._transport
+        self._set_unread(0)
         self.is_in_use = False
         self.idle_since = self._clock()
         is_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
@@ -235,6 +241,18 @@
             self._http.send(h11.Data(data=bytes(length)))
         self._http.send(h11.EndOfMessage())
 
+    def _set_unread(self, unread_bytes: int) -> None:
+        """Receive no more while too much of the response waits to be relayed."""
+        was_paused = self._unread_bytes >= MAX_UNREAD_BYTES
+        is_paused = unread_bytes >= MAX_UNREAD_BYTES
+        self._unread_bytes = unread_bytes
+        if self._transport is None or was_paused == is_paused:
+            return
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _receive(self, data: bytes) -> None:
         if self._parse_problem:
             return
@@ -248,6 +266,7 @@
             event = self._parse_next_event()
             if event is not None:
                 return event
+            self._set_unread(0)
             if self._lost_problem:
                 raise BrokenResponseError(self._lost_problem)
             self._waiter = self._loop.create_future()
