router: what many connections hold is charged and can be dropped at once

A request that was dropped while it was served kept its body, uncharged.

Received bytes wait in the reader and reach the parser in pieces of 16 KiB, so that dropping a request frees them at once. A parsed head is charged with 256 bytes a header besides its text. At most 64 connections linger after a refusal. Dropping a request that is served aborts its connection. A head that may be large waits for a turn.

test_a_crowd_of_many_callers (many_headers, small_bodies_by_pieces) failed before the change and passes with it.

--- a/src/orchidpath/router/proxy/caller_connection.py
+++ b/src/orchidpath/router/proxy/caller_connection.py
@@ -13,6 +13,7 @@
 from orchidpath.router.proxy.protocol_mapping import Header
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest, ResponseHead
 from orchidpath.router.proxy.request_reader import (
+    MAX_LINGERING,
     ReadingLimits,
     RejectedRequestError,
     RequestReader,
@@ -89,13 +90,14 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.edge_limits().max_header_bytes
         )
-        self._reader = RequestReader(self._http, limits, self._write, self._set_receiving)
+        self._reader = RequestReader(
+            self._http, limits, self._write, self._set_receiving, self.abort
+        )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_receiving = True
-        self._discards = False
 
     @property
     def is_resting(self) -> bool:
@@ -118,12 +120,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the HTTP parser (called by asyncio)."""
-        if self._discards:
-            return
-        try:
-            self._reader.receive(data)
-        except RuntimeError:  # h11 received bytes after the end of the stream
-            self.close()
+        self._reader.receive(data)
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that ends its stream has left (called by asyncio)."""
@@ -234,15 +231,25 @@
         headers: list[Header] = []
         if rejected.retry_after_seconds is not None:
             headers.append((b"retry-after", b"%.2f" % rejected.retry_after_seconds))
-        self._discards = True
         self._reader.close()
         try:
             self.send_response(rejected.status, headers, str(rejected).encode(), closes=True)
         except CallerDisconnectedError:
             return
-        self._transport.write_eof()
-        self._set_receiving(True)
-        await asyncio.sleep(REJECTION_LINGER_SECONDS)
+        await self._discard_input()
+
+    async def _discard_input(self) -> None:
+        """Discard for a while what the caller still sends, unless many connections do so."""
+        limits = self._owner.limits
+        if self._transport is None or limits.lingering >= MAX_LINGERING:
+            return
+        limits.lingering += 1
+        try:
+            self._transport.write_eof()
+            self._set_receiving(True)
+            await asyncio.sleep(REJECTION_LINGER_SECONDS)
+        finally:
+            limits.lingering -= 1
 
     def _answer_failed(self) -> None:
         """Answer with status 500, or abort a response that has begun."""
--- a/src/orchidpath/router/proxy/request_reader.py
+++ b/src/orchidpath/router/proxy/request_reader.py
@@ -1,7 +1,8 @@
 """Reads the requests of one caller's connection within the limits on size, time and memory.
 
-The h11 library parses HTTP and rejects malformed requests. A connection that has received more than
-it has parsed stops receiving, and one that parses many events lets other connections go first.
+The h11 library parses HTTP and rejects malformed requests. What a connection has received waits
+here until the parser needs it, so that it can be dropped at once when others need the memory. A
+connection with much to parse stops receiving, and lets other connections go first.
 """
 
 import asyncio
@@ -27,6 +28,18 @@
 MAX_UNPARSED_BYTES = 65_536
 """A connection receives no more while this much of what it has received is not parsed."""
 
+PARSED_PIECE_BYTES = 16_384
+"""Received bytes that are given to the parser at once; it can't drop them any more."""
+
+LARGE_HEAD_BYTES = 4096
+"""A head that may be larger than this waits for a turn before it is parsed."""
+
+HEADER_OVERHEAD_BYTES = 256
+"""Memory of a parsed header, besides its text."""
+
+MAX_LINGERING = 64
+"""Connections that discard input after a rejection at once; further ones close without it."""
+
 
 class RejectedRequestError(OrchidpathError):
     """A request is rejected before it was read completely; its connection is then closed."""
@@ -57,6 +70,7 @@
         self.memory = memory
         self.clock = clock
         self.turns = ParsingTurns()
+        self.lingering = 0
 
 
 class RequestReader:
@@ -72,6 +86,8 @@
         Writes bytes to the caller.
     set_receiving
         Lets the connection receive, or stops it.
+    abort
+        Aborts the connection, which cancels the request that is being served.
     """
 
     def __init__(
@@ -80,16 +96,20 @@
         limits: ReadingLimits,
         write: Callable[[bytes | None], None],
         set_receiving: Callable[[bool], None],
+        abort: Callable[[], None],
     ) -> None:
         self._http = http
         self._limits = limits
         self._write = write
         self._set_receiving = set_receiving
+        self._abort = abort
         self._share = limits.memory.new_share(self.refuse_for_memory)
         self._waiter: asyncio.Future[None] | None = None
+        self._received = bytearray()
+        self._given_bytes = 0
+        self._head_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
-        self._unparsed_bytes = 0
         self._event_count = 0
         self._has_input = False
         self._refusal: RejectedRequestError | None = None
@@ -103,18 +123,12 @@
         return is_between_requests and not self._unparsed_bytes and not self.is_serving
 
     def receive(self, data: bytes) -> None:
-        """Add received bytes.
-
-        Raises
-        ------
-        RuntimeError
-            The caller has ended its stream before.
-        """
+        """Add received bytes."""
         if self._refusal is not None or self._is_closed:
             return
-        self._http.receive_data(data)
+        self._received += data
         self._has_input = True
-        self._set_unparsed(self._unparsed_bytes + len(data))
+        self._charge_memory()
         self._wake()
 
     async def read_request(self) -> ForwardedRequest | None:
@@ -130,7 +144,7 @@
             return None
         received_at = self._limits.clock()
         await self._read_body(head)
-        self._set_unparsed(len(self._http.trailing_data[0]))
+        self._count_given()
         if not self._share.try_complete():
             raise _no_memory_error()
         self.is_serving = True
@@ -147,23 +161,40 @@
     def finish_request(self) -> None:
         """Give back the memory of the request that was answered."""
         self.is_serving = False
+        self._head_bytes = 0
         self._body_bytes = 0
         self._share.release()
-        self._set_unparsed(self._unparsed_bytes)
+        self._charge_memory()
 
     def close(self) -> None:
         """Give back the memory of a connection that reads no further request."""
         self._is_closed = True
+        self._drop()
         self._share.release()
-        self._body = bytearray()
 
     def refuse_for_memory(self) -> None:
-        """Reject the request that is arriving, as other requests take the memory."""
+        """Reject the request that is arriving, as other requests take the memory.
+
+        While a request is served, the connection is aborted instead: its caller sends on without
+        waiting for the answer.
+        """
         self._refusal = _no_memory_error()
-        self._body = bytearray()
+        self._drop()
+        if self.is_serving:
+            self._abort()
+            return
         self._set_receiving(False)
         self._wake()
 
+    @property
+    def _unparsed_bytes(self) -> int:
+        """Received bytes that the parser has not used, up to a piece that it may have used."""
+        return len(self._received) + self._given_bytes
+
+    def _drop(self) -> None:
+        self._received = bytearray()
+        self._body = bytearray()
+
     async def _read_head(self) -> h11.Request | None:
         limits = self._limits.edge_limits()
         if self._unparsed_bytes:
@@ -174,13 +205,18 @@
                 await self._wait_for_input(limits.idle_timeout_seconds)
             except TimeoutError:
                 return None
+            if self._unparsed_bytes > LARGE_HEAD_BYTES:
+                await self._limits.turns.next_turn()
         event = await self._event_within(limits.header_timeout_seconds)
         if isinstance(event, h11.ConnectionClosed):
             return None
         assert isinstance(event, h11.Request)
         # h11 limits the size of a head only while the head is incomplete.
-        if sum(len(name) + len(value) for name, value in event.headers) > limits.max_header_bytes:
+        text_bytes = sum(len(name) + len(value) for name, value in event.headers)
+        if text_bytes > limits.max_header_bytes:
             raise RejectedRequestError(HEAD_TOO_LARGE_STATUS, "the head is too large")
+        self._head_bytes = text_bytes + HEADER_OVERHEAD_BYTES * len(event.headers)
+        self._charge_memory()
         return event
 
     async def _read_body(self, head: h11.Request) -> None:
@@ -221,26 +257,47 @@
         return event
 
     def _next_event(self) -> h11.Event | None:
-        if self._refusal is not None:
-            raise self._refusal
+        """Return the next event of what was received; None if more bytes are needed."""
+        while True:
+            if self._refusal is not None:
+                raise self._refusal
+            event = self._parse()
+            if event is not None:
+                return event
+            self._count_given()
+            if not self._give_piece():
+                return None
+
+    def _parse(self) -> h11.Event | None:
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise RejectedRequestError(error.error_status_hint, str(error)) from error
         if self._http.they_are_waiting_for_100_continue:
             self._write(self._http.send(h11.InformationalResponse(status_code=100, headers=[])))
-        if not isinstance(event, type):
-            return event
-        # More bytes are needed: what is left is at most an incomplete head or line.
-        self._set_unparsed(len(self._http.trailing_data[0]))
-        return None
-
-    def _set_unparsed(self, unparsed_bytes: int) -> None:
-        """Set the number of received bytes that are not parsed, and charge the memory."""
-        self._unparsed_bytes = unparsed_bytes
+        return None if isinstance(event, type) else event
+
+    def _give_piece(self) -> bool:
+        """Give the next received bytes to the parser; return False if there are none."""
+        piece = bytes(self._received[:PARSED_PIECE_BYTES])
+        if not piece:
+            return False
+        del self._received[:PARSED_PIECE_BYTES]
+        self._http.receive_data(piece)
+        self._given_bytes += len(piece)
+        return True
+
+    def _count_given(self) -> None:
+        """Count what the parser has not used: an incomplete head or line, or a next request."""
+        self._given_bytes = len(self._http.trailing_data[0])
+        self._charge_memory()
+
+    def _charge_memory(self) -> None:
+        """Charge what is held, and receive only while little of it is not parsed."""
         if self._is_closed:
             return
-        self._share.resize(self._body_bytes + unparsed_bytes)
+        unparsed_bytes = self._unparsed_bytes
+        self._share.resize(self._head_bytes + self._body_bytes + unparsed_bytes)
         if self._refusal is None:
             self._set_receiving(unparsed_bytes < MAX_UNPARSED_BYTES)
 
--- a/tests/hostile/crowds.py
+++ b/tests/hostile/crowds.py
@@ -62,6 +62,16 @@
     return send
 
 
+def many_headers(method: str, path: str, count: int) -> Sending:
+    """A head of many tiny headers, within the limit on its size, and no body after it."""
+
+    def send() -> Iterator[bytes]:
+        begin = head(method, path, "Content-Length: 100")
+        yield begin.removesuffix(b"\r\n") + b"a:b\r\n" * count + b"\r\n"
+
+    return send
+
+
 def announced_too_large(method: str, path: str, size: int) -> Sending:
     """A body whose length is far over the limit, sent all the same."""
 
--- a/tests/hostile/hostile_fleet.py
+++ b/tests/hostile/hostile_fleet.py
@@ -189,7 +189,11 @@
 
     def _start_process(self, role: str, settings: Path) -> subprocess.Popen[bytes]:
         former_limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (self._descriptor_limit, former_limits[1]))
+        _, hard_limit = former_limits
+        limit = self._descriptor_limit
+        if hard_limit != resource.RLIM_INFINITY:
+            limit = min(limit, hard_limit)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard_limit))
         try:
             with (self._folder / f"{role}.log").open("wb") as log:
                 return subprocess.Popen(
--- a/tests/hostile/test_hostile_clients.py
+++ b/tests/hostile/test_hostile_clients.py
@@ -15,6 +15,7 @@
     body_by_pieces,
     body_in_chunks,
     bytes_after_request,
+    many_headers,
     raw,
     whole_body,
 )
@@ -37,6 +38,13 @@
 FLOOD_BYTES = 16 * 1024 * 1024
 """What each member of a crowd sends that does not stop at any limit."""
 
+MANY_MEMBERS = 1900
+"""Members of a crowd just below the number of connections that half of the descriptors allow."""
+
+TINY_HEADERS = 3000
+"""Number of headers of a few bytes that fit into the largest head."""
+
+SMALL_BODY_BYTES = 300_000
 FEW_DESCRIPTORS = 512
 WIRE_FRAME_BYTES = 8 * 1024 * 1024
 
@@ -53,6 +61,10 @@
     "announced_too_large": announced_too_large(*CALL, FLOOD_BYTES),
     "sent_too_large": body_in_chunks(*CALL, FLOOD_BYTES, chunk_bytes=65_536),
 }
+MANY_CALLERS = {
+    "many_headers": many_headers(*CALL, TINY_HEADERS),
+    "small_bodies_by_pieces": body_by_pieces(*CALL, SMALL_BODY_BYTES, missing=1),
+}
 READY_CROWDS = {
     "whole": whole_body(*PROBE, MAX_BODY_BYTES, missing=1),
     "in_large_chunks": body_in_chunks(*PROBE, MAX_BODY_BYTES, chunk_bytes=65_536),
@@ -97,6 +109,13 @@
         await check_crowd(fleet, FRONT_PORT, FRONT_CROWDS[crowd], MEMBERS)
 
 
+@pytest.mark.parametrize("crowd", MANY_CALLERS)
+async def test_a_crowd_of_many_callers(tmp_path: Path, crowd: str) -> None:
+    """Guards against a router that runs out of memory over what little each of many has sent."""
+    async with running_fleet(tmp_path) as fleet:
+        await check_crowd(fleet, FRONT_PORT, MANY_CALLERS[crowd], MANY_MEMBERS)
+
+
 async def test_a_crowd_of_callers_with_complete_bodies(tmp_path: Path) -> None:
     """Guards against a router that runs out of memory over large requests in progress."""
     async with running_fleet(tmp_path) as fleet:
