--- a/tests/router/test_reading_limits.py
+++ b/tests/router/test_reading_limits.py
@@ -11,6 +11,7 @@
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest
 from orchidpath.router.proxy.proxy_metrics import ProxyMetrics
 from orchidpath.router.proxy.proxy_server import ProxyServer
+from orchidpath.router.proxy.request_reader import HEADER_OVERHEAD_BYTES, MAX_LINGERING
 from orchidpath.wire.configuration import EdgeLimits
 
 WAIT_SECONDS = 30.0
@@ -214,3 +215,46 @@
         assert (await reader.readuntil(b"\r\n\r\n0")).startswith(b"HTTP/1.1 200")
         writer.close()
         further_writer.close()
+
+
+async def test_parsed_headers_are_charged() -> None:
+    """Guards against a router that runs out of memory over heads of many tiny headers."""
+    memory = RequestMemory()
+    async with serving(Handler(), memory) as server:
+        _, writer = await connect(server)
+        writer.write(HEAD + b"a:b\r\n" * 1000 + b"Content-Length: 1\r\n\r\n")
+        while memory.held_bytes < 1000 * HEADER_OVERHEAD_BYTES:
+            await asyncio.sleep(0)
+        writer.close()
+        while memory.held_bytes:
+            await asyncio.sleep(0)
+
+
+async def test_a_request_dropped_while_it_is_served_is_cancelled() -> None:
+    """Guards against requests that keep memory which is no longer counted."""
+    handler = Handler()
+    handler.may_answer.clear()
+    memory = RequestMemory(90_000)
+    async with serving(handler, memory) as server:
+        reader, writer = await connect(server)
+        writer.write(HEAD + b"Content-Length: 80000\r\n\r\n" + bytes(80_000))
+        while not handler.received:
+            await asyncio.sleep(0)
+        writer.write(bytes(100_000))
+        with suppress(ConnectionError):
+            assert await reader.read() == b""
+        assert memory.held_bytes == 0
+        writer.close()
+
+
+async def test_few_connections_linger_after_a_rejection() -> None:
+    """Guards against rejected connections that hold what they have received for a second."""
+    async with serving(Handler(), max_connections=2 * MAX_LINGERING) as server:
+        connections = [await connect(server) for _ in range(MAX_LINGERING + 20)]
+        for _, writer in connections:
+            writer.write(HEAD + b"Content-Length: 100001\r\n\r\n")
+        for reader, _ in connections:
+            assert (await answer(reader)).startswith(b"HTTP/1.1 413")
+        assert server.limits.lingering <= MAX_LINGERING
+        for _, writer in connections:
+            writer.close()
