wire: a body that never ends gives its connection up at once

With all connections of a control process open, a further one waited for the answers of the oldest. A request counted as being served from its head on, so connections with incomplete bodies never made room, and beyond twice the bound workers and operators were closed at once.

SharedBodies records on which connections a body still arrives; such a connection is closed at once, since nothing of its request has begun. test_a_request_whose_body_never_ends_makes_room_at_once: without the rule (guard arriving_makes_room) it fails.

--- a/src/orchidpath/control/api/operator_api.py
+++ b/src/orchidpath/control/api/operator_api.py
@@ -83,7 +83,8 @@
     """
     memory = RequestMemory(REQUEST_MEMORY_BYTES)
     memory.permit(MAX_BODY_BYTES)
-    app = web.Application(middlewares=[answer_errors, share_request_memory(memory)])
+    app = web.Application(middlewares=[answer_errors])
+    share_request_memory(app, memory)
     api = _OperatorApi(access, registry)
     app.router.add_get("/v1/configuration", api.get_configuration)
     app.router.add_put("/v1/configuration", api.put_configuration)
--- a/src/orchidpath/router/chat/http_edge.py
+++ b/src/orchidpath/router/chat/http_edge.py
@@ -166,9 +166,8 @@
     def _application(self) -> web.Application:
         memory = RequestMemory()
         memory.permit(MAXIMUM_BODY_BYTES)
-        application = web.Application(
-            middlewares=[self._answer_errors, share_request_memory(memory)]
-        )
+        application = web.Application(middlewares=[self._answer_errors])
+        share_request_memory(application, memory)
         router = application.router
         router.add_get("/health/live", self._health.live)
         router.add_get("/health/ready", self._health.ready)
--- a/src/orchidpath/wire/http_bodies.py
+++ b/src/orchidpath/wire/http_bodies.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 from aiohttp import web
-from aiohttp.typedefs import Middleware
 
 from orchidpath.common.request_memory import RequestMemory, RequestShare
 
@@ -18,8 +18,8 @@
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def share_request_memory(memory: RequestMemory) -> Middleware:
-    """Return a middleware that lets the handlers use :func:`read_body`.
+class SharedBodies:
+    """The bodies that an application reads, and the connections that they arrive on.
 
     Parameters
     ----------
@@ -27,16 +27,51 @@
         Memory for the bodies of all requests, each of which is held until its request is answered.
     """
 
+    def __init__(self, memory: RequestMemory) -> None:
+        self.memory = memory
+        self._arriving: set[web.RequestHandler] = set()
+
+    def is_arriving(self, connection: web.RequestHandler) -> bool:
+        """Whether a body is arriving on a connection, so that nothing of its request has begun."""
+        return connection in self._arriving
+
+    @contextmanager
+    def arriving(self, request: web.Request) -> Iterator[None]:
+        """Record that the body of a request arrives while the context is open."""
+        self._arriving.add(request.protocol)
+        try:
+            yield
+        finally:
+            self._arriving.discard(request.protocol)
+
     @web.middleware
-    async def share_memory(request: web.Request, handler: _Handler) -> web.StreamResponse:
-        body_share = _BodyShare(memory)
+    async def share_memory(self, request: web.Request, handler: _Handler) -> web.StreamResponse:
+        """Let the handler use :func:`read_body`."""
+        body_share = _BodyShare(self)
         request[_SHARE] = body_share
         try:
             return await handler(request)
         finally:
             body_share.release()
 
-    return share_memory
+
+SHARED_BODIES = web.AppKey("shared_bodies", SharedBodies)
+"""The bodies of an application, for the server that bounds its connections."""
+
+
+def share_request_memory(app: web.Application, memory: RequestMemory) -> None:
+    """Let the handlers of an application read bodies with :func:`read_body`.
+
+    Parameters
+    ----------
+    app
+        The application, which has not started.
+    memory
+        Memory for the bodies of all requests.
+    """
+    bodies = SharedBodies(memory)
+    app[SHARED_BODIES] = bodies
+    app.middlewares.append(bodies.share_memory)
 
 
 async def read_body(request: web.Request, max_bytes: int, timeout_seconds: float | None) -> bytes:
@@ -53,8 +88,9 @@
 class _BodyShare:
     """Share of the server's memory that the body of one request takes."""
 
-    def __init__(self, memory: RequestMemory) -> None:
-        self._share: RequestShare = memory.new_share(self._shed)
+    def __init__(self, bodies: SharedBodies) -> None:
+        self._bodies = bodies
+        self._share: RequestShare = bodies.memory.new_share(self._shed)
         self._is_shed = False
         self._timeout: asyncio.Timeout | None = None
 
@@ -70,8 +106,9 @@
         if announced_bytes > max_bytes:
             raise web.HTTPRequestEntityTooLarge(max_bytes, announced_bytes)
         try:
-            async with asyncio.timeout(timeout_seconds) as self._timeout:
-                body = await self._collect(request, max_bytes)
+            with self._bodies.arriving(request):
+                async with asyncio.timeout(timeout_seconds) as self._timeout:
+                    body = await self._collect(request, max_bytes)
         except TimeoutError as error:
             if self._is_shed:
                 raise _no_memory() from error
--- a/src/orchidpath/wire/http_server.py
+++ b/src/orchidpath/wire/http_server.py
@@ -10,6 +10,7 @@
 
 from orchidpath.common.addresses import parse_address
 from orchidpath.common.descriptors import connections_within
+from orchidpath.wire.http_bodies import SHARED_BODIES
 
 DEFAULT_MAX_CONNECTIONS = 1024
 """Default of the largest number of open connections."""
@@ -33,14 +34,16 @@
     Parameters
     ----------
     app
-        The application.
+        The application; its handlers read bodies as
+        :func:`~orchidpath.wire.http_bodies.share_request_memory` says.
     shutdown_seconds
         Time that requests get to finish when the server closes.
     handler_cancellation
         Whether the handler of a request is cancelled when its caller disconnects.
     max_connections
-        Largest number of open connections. For a further one, the oldest is closed: at once, or
-        after the answer to its request. Beyond twice as many, the further one is closed.
+        Largest number of open connections. For a further one, the oldest is closed, after the
+        answer if its request has arrived completely. Beyond twice as many, the further one is
+        closed.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         handler_cancellation: bool = False,
         max_connections: int | None = None,
     ) -> None:
+        self._bodies = app[SHARED_BODIES]
         app.middlewares.insert(0, self._record_serving)
         self._runner = web.AppRunner(
             app,
@@ -106,7 +110,8 @@
         for connection in connections:
             if connection not in self._closing:
                 self._closing.add(connection)
-                if connection in self._serving:
+                is_arriving = self._bodies.is_arriving(connection)
+                if connection in self._serving and not is_arriving:
                     connection.close()
                 else:
                     connection.force_close()
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -21,13 +21,21 @@
     def __init__(self, memory: RequestMemory, body_seconds: float | None) -> None:
         self.may_answer = asyncio.Event()
         self.may_answer.set()
+        self.arrived = 0
         self.received = 0
+        self.errors: list[Exception] = []
         self._body_seconds = body_seconds
-        self.app = web.Application(middlewares=[share_request_memory(memory)])
+        self.app = web.Application()
+        share_request_memory(self.app, memory)
         self.app.router.add_put("/x", self._answer)
 
     async def _answer(self, request: web.Request) -> web.Response:
-        body = await read_body(request, MAX_BODY_BYTES, self._body_seconds)
+        self.arrived += 1
+        try:
+            body = await read_body(request, MAX_BODY_BYTES, self._body_seconds)
+        except Exception as error:
+            self.errors.append(error)
+            raise
         self.received += 1
         await self.may_answer.wait()
         return web.Response(text=str(len(body)))
@@ -146,3 +154,20 @@
         assert await reader.read() == b"0"
         writer.close()
         further.close()
+
+
+async def test_a_request_whose_body_never_ends_makes_room_at_once() -> None:
+    """Guards against incomplete bodies that keep workers and operators from connecting."""
+    async with serving(max_connections=2) as server:
+        crowd = []
+        for number in range(4):
+            crowd.append(await server.connect())
+            crowd[-1][1].write(HEAD + b"Content-Length: 10\r\n\r\nx")
+            while server.application.arrived <= number:
+                await asyncio.sleep(0)
+        reader, writer = await server.connect()
+        writer.write(HEAD + b"Content-Length: 1\r\n\r\nx")
+        assert await status(reader) == 200
+        for _, member in crowd:
+            member.close()
+        writer.close()
