wire: a caller that leaves within its body is no error of the server

Each member of a crowd that left within its body wrote a traceback to the log: the ConnectionError of the read reached the outermost handler, which answered 500. It is a 400 that nobody reads. Without the change (guard caller_that_leaves) test_a_caller_that_leaves_within_its_body_is_no_error_of_the_server fails.

--- a/src/orchidpath/wire/http_bodies.py
+++ b/src/orchidpath/wire/http_bodies.py
@@ -80,7 +80,8 @@
     Raises
     ------
     web.HTTPException
-        The body is too large (413), too slow (408), or there is no memory for it (503).
+        The caller closes the connection (400), the body is too large (413) or too slow (408), or
+        there is no memory for it (503).
     """
     return await request[_SHARE].read(request, max_bytes, timeout_seconds)
 
@@ -113,6 +114,8 @@
             if self._is_shed:
                 raise _no_memory() from error
             raise web.HTTPRequestTimeout from error
+        except ConnectionError as error:
+            raise web.HTTPBadRequest(reason="the connection closed within the body") from error
         finally:
             self._timeout = None
         if self._is_shed or not self._share.try_complete():
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -171,3 +171,16 @@
         for _, member in crowd:
             member.close()
         writer.close()
+
+
+async def test_a_caller_that_leaves_within_its_body_is_no_error_of_the_server() -> None:
+    """Guards against a traceback in the log for each member of a crowd that leaves."""
+    async with serving() as server:
+        _, writer = await server.connect()
+        writer.write(HEAD + b"Content-Length: 10\r\n\r\nx")
+        while not server.application.arrived:
+            await asyncio.sleep(0)
+        writer.close()
+        while not server.application.errors:
+            await asyncio.sleep(0)
+        assert [type(error) for error in server.application.errors] == [web.HTTPBadRequest]
