--- a/tests/hostile/crowds.py
+++ b/tests/crowds.py
@@ -1,13 +1,14 @@
 """Crowds of clients that the system does not control: what each of their members sends."""
 
 import asyncio
+import json
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from itertools import count
 
 PIECE_BYTES = 65_536
 SETTLED_SECONDS = 1.0
-"""A crowd of which no member has sent anything for this long has done its worst."""
+"""A crowd of which no member has sent or received for this long has done its worst."""
 
 CROWD_SECONDS = 30.0
 """Longest time that a crowd sends before the system is checked; its connections stay open."""
@@ -94,20 +95,73 @@
     return send
 
 
+def most_incomplete(incomplete: Sending, complete: Sending) -> Sending:
+    """Three of four members stop just short of their end, and the fourth one does not."""
+    members = count()
+    return lambda: complete() if next(members) % 4 == 3 else incomplete()
+
+
+def request_without_body(method: str, path: str) -> Sending:
+    """A complete request that has no body."""
+    return lambda: iter([head(method, path)])
+
+
+def complete_body(method: str, path: str, body: bytes) -> Sending:
+    """A complete request with a body of its own, sent at once."""
+    return lambda: iter([head(method, path, f"Content-Length: {len(body)}"), body])
+
+
+def registrations(requests: int, models: int, model_name: str) -> Sending:
+    """Complete heartbeats of workers, each under an id of its own."""
+    worker_numbers = count(1)
+    body = json.dumps(
+        {
+            "service": "crowd-api",
+            "address": "127.0.0.1:9",
+            "zone": "z",
+            "state": "ready",
+            "models": [{"name": f"{model_name}{number}"} for number in range(models)],
+            "seq": 1,
+        }
+    ).encode()
+
+    def send() -> Iterator[bytes]:
+        for _ in range(requests):
+            path = f"/instances/i-crowd-{next(worker_numbers)}"
+            yield head("PUT", path, f"Content-Length: {len(body)}") + body
+
+    return send
+
+
 def raw(content: bytes) -> Sending:
     """Bytes of any kind, sent at once."""
     return lambda: iter([content])
 
 
 class Crowd:
-    """Clients that each send the same on a connection of their own, and then leave it open."""
-
-    def __init__(self, host: str, port: int, members: int, sending: Sending) -> None:
+    """Clients that each send the same on a connection of their own, and then leave it open.
+
+    Parameters
+    ----------
+    host, port
+        Address that the members connect to.
+    members
+        Number of clients.
+    sending
+        What each of them sends.
+    reads
+        Whether the members read what they are sent.
+    """
+
+    def __init__(
+        self, host: str, port: int, members: int, sending: Sending, *, reads: bool = True
+    ) -> None:
         self._address = (host, port)
         self._members = members
         self._sending = sending
+        self._reads = reads
         self._tasks: list[asyncio.Task[None]] = []
-        self._sent_pieces = 0
+        self._progress = 0
 
     async def send(self) -> None:
         """Let the members send until all have finished, are refused, or are held up."""
@@ -117,9 +171,9 @@
             await asyncio.sleep(0.05)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + CROWD_SECONDS
-        sent_pieces = -1
-        while sent_pieces != self._sent_pieces and loop.time() < ends_at:
-            sent_pieces = self._sent_pieces
+        progress = -1
+        while progress != self._progress and loop.time() < ends_at:
+            progress = self._progress
             await asyncio.sleep(SETTLED_SECONDS)
 
     async def leave(self) -> None:
@@ -131,11 +185,16 @@
         with suppress(OSError):
             reader, writer = await asyncio.open_connection(*self._address)
             try:
+                if not self._reads:
+                    assert isinstance(writer.transport, asyncio.Transport)
+                    writer.transport.pause_reading()
                 for piece in self._sending():
                     writer.write(piece)
                     await writer.drain()
-                    self._sent_pieces += 1
+                    self._progress += 1
+                if not self._reads:
+                    await asyncio.Event().wait()
                 while await reader.read(PIECE_BYTES):
-                    pass
+                    self._progress += 1
             finally:
                 writer.transport.abort()
--- a/tests/hostile/hostile_fleet.py
+++ b/tests/hostile/hostile_fleet.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from loopback_hosts import free_hosts
+from machine_limits import MACHINE_MEMORY_BYTES, peak_memory_bytes
 
 ROOT = Path(__file__).parents[2]
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT = 8144, 8140, 8146, 7660
@@ -24,9 +25,6 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body that the configuration of these tests permits."""
 
-MACHINE_MEMORY_BYTES = 300_000_000
-"""Memory of a machine of the deployments, which no process may exceed."""
-
 MACHINE_DESCRIPTORS = 4100
 """Descriptors of a machine of the deployments, which no process may exceed."""
 
@@ -117,7 +115,7 @@
         """Check that each process lives within the memory and descriptors of its machine."""
         for role, process in self.processes.items():
             assert process.poll() is None, f"{role} ended with {process.returncode}"
-            peak_bytes = _peak_memory_bytes(process.pid)
+            peak_bytes = peak_memory_bytes(process.pid)
             assert peak_bytes < MACHINE_MEMORY_BYTES, f"{role}: {peak_bytes / 1e6:.0f} MB"
             descriptors = len(list(Path(f"/proc/{process.pid}/fd").iterdir()))
             assert descriptors < self._descriptor_limit, f"{role}: {descriptors} descriptors"
@@ -154,6 +152,30 @@
             while await self._status(port, content) != until:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def read_configuration(self) -> bytes:
+        """Return the body of a ``GET /config`` that is sent until it is answered with 200."""
+        content = _request("GET", "/config", b"", {})
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                response = await self._response(CONTROL_PORT, content)
+                if response.startswith(b"HTTP/1.1 200 "):
+                    return response.partition(b"\r\n\r\n")[2]
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _response(self, port: int, content: bytes) -> bytes:
+        """Return what is received until the connection closes; empty if it fails."""
+        try:
+            reader, writer = await asyncio.open_connection(self.host, port)
+        except OSError:
+            return b""
+        try:
+            writer.write(content)
+            return await reader.read()
+        except OSError:
+            return b""
+        finally:
+            writer.close()
+
     async def _status(self, port: int, content: bytes) -> int:
         """Return the status of one try; 0 if the connection fails."""
         try:
@@ -239,8 +261,24 @@
         await fleet.stop()
 
 
-def document(version: int) -> bytes:
-    """Return a configuration with one route to the worker."""
+def document(version: int, least_bytes: int = 0) -> bytes:
+    """Return a configuration with one route to the worker.
+
+    Further routes to it are added until the configuration has a number of bytes.
+    """
+    content = _content(version)
+    (route,) = content["routes"]
+    size = len(json.dumps(content))
+    for number in count(1):
+        if size >= least_bytes:
+            break
+        name = f"stock-{number}"
+        content["routes"].append({**route, "name": name, "path_prefix": f"/{name}/"})
+        size += len(json.dumps(content["routes"][-1])) + len(", ")
+    return json.dumps(content).encode()
+
+
+def _content(version: int) -> dict[str, Any]:
     route = {
         "name": "stock",
         "hostname": "shop.example",
@@ -259,8 +297,7 @@
         "header_timeout_ms": 60_000,
         "idle_timeout_ms": 600_000,
     }
-    content = {"version": version, "routes": [route], "services": [service], "limits": limits}
-    return json.dumps(content).encode()
+    return {"version": version, "routes": [route], "services": [service], "limits": limits}
 
 
 def _request(method: str, path: str, body: bytes, headers: dict[str, str]) -> bytes:
@@ -268,9 +305,3 @@
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join([*lines, "", ""]).encode() + body
-
-
-def _peak_memory_bytes(process_id: int) -> int:
-    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
-    (peak,) = (line for line in lines if line.startswith("VmHWM:"))
-    return int(peak.split()[1]) * 1024
--- a/tests/hostile/test_hostile_clients.py
+++ b/tests/hostile/test_hostile_clients.py
@@ -10,15 +10,16 @@
 import pytest
 from crowds import (
     Crowd,
-    Sending,
     announced_too_large,
     body_by_pieces,
     body_in_chunks,
     bytes_after_request,
     many_headers,
+    most_incomplete,
     raw,
     whole_body,
 )
+from hostile_checks import check_crowd
 from hostile_fleet import (
     CONTROL_PORT,
     CONTROL_WIRE_PORT,
@@ -26,8 +27,6 @@
     MAX_BODY_BYTES,
     READY_PORT,
     ROUTER_WIRE_PORT,
-    HostileFleet,
-    document,
     running_fleet,
 )
 
@@ -51,6 +50,8 @@
 CALL = ("POST", "/stock/x")
 PROBE = ("POST", "/ready")
 UPDATE = ("PUT", "/config")
+CHANGE = ("PATCH", "/config")
+ORDER = ("PUT", "/v1/configuration")
 HEARTBEAT = ("PUT", "/instances/i-crowd")
 
 FRONT_CROWDS = {
@@ -60,6 +61,9 @@
     "in_chunks_of_one_byte": body_in_chunks(*CALL, MAX_BODY_BYTES, chunk_bytes=1),
     "announced_too_large": announced_too_large(*CALL, FLOOD_BYTES),
     "sent_too_large": body_in_chunks(*CALL, FLOOD_BYTES, chunk_bytes=65_536),
+    "most_incomplete": most_incomplete(
+        whole_body(*CALL, MAX_BODY_BYTES, missing=1), whole_body(*CALL, MAX_BODY_BYTES, missing=0)
+    ),
 }
 MANY_CALLERS = {
     "many_headers": many_headers(*CALL, TINY_HEADERS),
@@ -67,8 +71,10 @@
 }
 READY_CROWDS = {
     "whole": whole_body(*PROBE, MAX_BODY_BYTES, missing=1),
+    "by_pieces": body_by_pieces(*PROBE, MAX_BODY_BYTES, missing=1),
     "in_large_chunks": body_in_chunks(*PROBE, MAX_BODY_BYTES, chunk_bytes=65_536),
     "in_chunks_of_one_byte": body_in_chunks(*PROBE, MAX_BODY_BYTES, chunk_bytes=1),
+    "announced_too_large": announced_too_large(*PROBE, FLOOD_BYTES),
     "sent_too_large": body_in_chunks(*PROBE, FLOOD_BYTES, chunk_bytes=65_536),
 }
 CONTROL_CROWDS = {
@@ -77,8 +83,12 @@
     "update_in_large_chunks": body_in_chunks(*UPDATE, CONTROL_BODY_BYTES, chunk_bytes=65_536),
     "update_in_chunks_of_one_byte": body_in_chunks(*UPDATE, CONTROL_BODY_BYTES, chunk_bytes=1),
     "update_complete": whole_body(*UPDATE, CONTROL_BODY_BYTES, missing=0),
+    "update_announced_too_large": announced_too_large(*UPDATE, FLOOD_BYTES),
     "update_sent_too_large": body_in_chunks(*UPDATE, FLOOD_BYTES, chunk_bytes=65_536),
+    "change_whole": whole_body(*CHANGE, CONTROL_BODY_BYTES, missing=1),
+    "order_whole": whole_body(*ORDER, CONTROL_BODY_BYTES, missing=1),
     "heartbeat_whole": whole_body(*HEARTBEAT, CONTROL_BODY_BYTES, missing=1),
+    "heartbeat_in_large_chunks": body_in_chunks(*HEARTBEAT, CONTROL_BODY_BYTES, chunk_bytes=65_536),
     "announcement_whole": whole_body("POST", "/v1/workers/announce", CONTROL_BODY_BYTES, missing=1),
     "read_in_chunks_of_one_byte": body_in_chunks(
         "GET", "/config", CONTROL_BODY_BYTES, chunk_bytes=1
@@ -86,22 +96,6 @@
 }
 
 
-async def check_crowd(fleet: HostileFleet, port: int, sending: Sending, members: int) -> None:
-    """Check that the fleet is unharmed and serves while a crowd has its connections open."""
-    crowd = Crowd(fleet.host, port, members, sending)
-    try:
-        await crowd.send()
-        fleet.assert_unharmed()
-        await fleet.request_until_served()
-        await fleet.call("GET", "/ready", b"", {}, READY_PORT, until=200)
-        await fleet.call("PUT", "/config", document(2), {"If-Match": "1"}, until=200)
-        fleet.assert_unharmed()
-    finally:
-        await crowd.leave()
-    await fleet.request_until_served(bytes(MAX_BODY_BYTES))
-    fleet.assert_unharmed()
-
-
 @pytest.mark.parametrize("crowd", FRONT_CROWDS)
 async def test_a_crowd_of_callers(tmp_path: Path, crowd: str) -> None:
     """Guards against a router that runs out of memory or hangs over incomplete bodies."""
