control: bounds on what a worker announces and on the number of workers

600 heartbeats under ids of their own with 8,000 models each took a control process to 537 MB (a machine has 300 MB): every process stores every worker, whatever its size, and any number of them.

A record has at most 32 models with 2,048 bytes of names, and 200 characters in its address, zone and failure domain; beyond them the announcement gets 400 that names the field. At most 4,096 workers are registered, nearly six times the size to design for; a further one gets 503. The leader decides, counting what it has proposed; the replicated state takes what it took before, so that replicas of two versions stay equal.

--- a/src/orchidpath/control/api/local_access.py
+++ b/src/orchidpath/control/api/local_access.py
@@ -27,6 +27,7 @@
 from orchidpath.control.replica.replica_loop import ReplicaLoop
 from orchidpath.state.commands import SubmitConfiguration
 from orchidpath.state.fleet_state import FleetState
+from orchidpath.wire.announcements import MAX_WORKERS
 from orchidpath.wire.backend import Announcement, AnnouncementReply
 from orchidpath.wire.messages import (
     ConfigurationUpdateReply,
@@ -80,14 +81,21 @@
     send_to_leader
         Sends a message to the leader that this replica assumes; returns False if the message was
         not sent, so that the leader cannot have received it.
+    worker_refused
+        Called when an announcement is refused since too many workers are registered.
     """
 
     def __init__(
-        self, replica_loop: ReplicaLoop, clock: Clock, send_to_leader: Callable[[Message], bool]
+        self,
+        replica_loop: ReplicaLoop,
+        clock: Clock,
+        send_to_leader: Callable[[Message], bool],
+        worker_refused: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = replica_loop
         self._clock = clock
         self._send_to_leader = send_to_leader
+        self._worker_refused = worker_refused
         self._next_key = 0
         self._pending: dict[int, asyncio.Future[object]] = {}
 
@@ -143,6 +151,11 @@
             raise UnavailableError("no leader confirmed the read in time") from error
         return self._replica.state
 
+    @property
+    def document_bytes(self) -> int:
+        """Size of the operators' document in the local state."""
+        return len(self._replica.state.document)
+
     async def circuits(self) -> tuple[WorkerCircuitView, ...]:
         """Return the workers' circuits as the leader has them now.
 
@@ -188,11 +201,17 @@
         )
 
     async def forward_announcement(self, announcement: Announcement) -> AnnouncementReply:
-        """Pass an announcement to the leader: to this replica, or over the wire protocol."""
+        """Pass an announcement to the leader: to this replica, or over the wire protocol.
+
+        A worker that the leader would refuse, since too many are registered, is refused here.
+        """
         message = ForwardedAnnouncements(announcements=(announcement,))
         replica = self._replica
         accepted = True
-        if replica.is_leader:
+        if not self._has_room(announcement):
+            self._worker_refused()
+            accepted = False
+        elif replica.is_leader:
             self._loop.post(lambda now: replica.receive(replica.member.node_id, message, now))
         else:
             accepted = self._send_to_leader(message)
@@ -200,6 +219,12 @@
         addresses = tuple(member.http_address for member in members if member.http_address)
         return AnnouncementReply(accepted=accepted, announce_to=addresses)
 
+    def _has_room(self, announcement: Announcement) -> bool:
+        state = self._replica.state
+        if announcement.leaving or state.worker_count < MAX_WORKERS:
+            return True
+        return state.find_worker(announcement.record.worker_id) is not None
+
     async def wait_for_departure(self, announcement: Announcement) -> bool:
         """Forward that a worker drains or leaves, and wait until the replicated state shows it.
 
--- a/src/orchidpath/control/leadership/worker_liveness.py
+++ b/src/orchidpath/control/leadership/worker_liveness.py
@@ -5,11 +5,12 @@
 import msgspec
 
 from orchidpath.control.leadership.liveness import LivenessTracker
+from orchidpath.control.leadership.worker_admission import WorkerAdmission
 from orchidpath.control.leadership.worker_runs import WorkerRuns
 from orchidpath.control.replica.control_output import ControlOutput
 from orchidpath.state.commands import WorkerChanged, WorkerRemoved
 from orchidpath.state.fleet_state import FleetState
-from orchidpath.wire.announcements import FINAL_SEQUENCE
+from orchidpath.wire.announcements import FINAL_SEQUENCE, MAX_WORKERS
 from orchidpath.wire.backend import Announcement
 from orchidpath.wire.records import WorkerRecord, WorkerStatus
 
@@ -25,13 +26,22 @@
         Records the workers' announcements.
     output
         Collects the proposals.
+    max_workers
+        Largest number of workers that are registered.
     """
 
-    def __init__(self, state: FleetState, liveness: LivenessTracker, output: ControlOutput) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        liveness: LivenessTracker,
+        output: ControlOutput,
+        max_workers: int = MAX_WORKERS,
+    ) -> None:
         self._state = state
         self._liveness = liveness
         self._output = output
         self._runs = WorkerRuns(state)
+        self.admission = WorkerAdmission(state, max_workers)
 
     def receive_announcements(self, announcements: Iterable[Announcement], now: float) -> None:
         """Record announcements and propose the changes and departures that they report."""
@@ -39,6 +49,8 @@
             if announcement.leaving:
                 self._remove_leaving(announcement.record)
                 continue
+            if not self.admission.admit(announcement.record.worker_id, now):
+                continue
             assigned = self._runs.assign(announcement, now)
             if assigned is not None:
                 self._receive_announcement(assigned, now)
@@ -55,6 +67,7 @@
             self._output.propose(removal)
         self._liveness.retain_workers(incarnations)
         self._runs.forget_old(now)
+        self.admission.forget_applied(now)
 
     def _receive_announcement(self, announcement: Announcement, now: float) -> None:
         record = announcement.record
--- a/src/orchidpath/state/fleet_state_reader.py
+++ b/src/orchidpath/state/fleet_state_reader.py
@@ -137,6 +137,11 @@
         """Return the stored update with an id, and its first outcome; None if there is none."""
         return self._configuration.find_update(order_id)
 
+    @property
+    def worker_count(self) -> int:
+        """Number of registered workers."""
+        return len(self._workers)
+
     def find_worker(self, worker_id: str) -> WorkerEntry | None:
         """Return a worker in the view, with the sequence of its announcement."""
         return self._workers.find(worker_id)
--- a/src/orchidpath/state/workers.py
+++ b/src/orchidpath/state/workers.py
@@ -84,6 +84,10 @@
         self._cordoned = set(cordoned)
         self._dead_limit = dead_limit
 
+    def __len__(self) -> int:
+        """Return the number of registered workers."""
+        return len(self._entries)
+
     def find(self, worker_id: str) -> WorkerEntry | None:
         """Return the entry of a registered worker; None if it is not registered."""
         return self._entries.get(worker_id)
--- a/src/orchidpath/wire/announcements.py
+++ b/src/orchidpath/wire/announcements.py
@@ -9,6 +9,18 @@
 MAX_ID_CHARACTERS = 200
 """Largest length, in characters, of the identifier of an update, a worker or an incarnation."""
 
+MAX_URL_CHARACTERS = 200
+"""Largest length, in characters, of the address of a worker."""
+
+MAX_MODELS = 32
+"""Largest number of models that a worker announces."""
+
+MAX_MODELS_BYTES = 2048
+"""Largest size, in bytes of UTF-8, of the names of a worker's models together."""
+
+MAX_WORKERS = 4096
+"""Largest number of registered workers; further ones are refused until others have left."""
+
 MAX_SEQUENCE = 2**53
 """Largest version or sequence: JSON readers that use doubles represent larger ones inexactly."""
 
@@ -45,12 +57,12 @@
 
 
 def check_record(record: WorkerRecord) -> None:
-    """Check the names and the URL in the record of a worker.
+    """Check the texts in the record of a worker, each of which every process stores.
 
     Raises
     ------
     InvalidAnnouncementError
-        A name or the URL does not have the documented form.
+        A text does not have the documented form, or is too long.
     """
     for name in ("worker_id", "incarnation", "service"):
         if not is_identifier(getattr(record, name)):
@@ -59,6 +71,21 @@
         raise InvalidAnnouncementError(
             "record.url must be a printable URL that begins with http://"
         )
+    if len(record.url) > MAX_URL_CHARACTERS:
+        raise InvalidAnnouncementError(
+            f"record.url must have at most {MAX_URL_CHARACTERS} characters"
+        )
+    for name in ("zone", "failure_domain"):
+        if len(getattr(record, name)) > MAX_ID_CHARACTERS:
+            raise InvalidAnnouncementError(
+                f"record.{name} must have at most {MAX_ID_CHARACTERS} characters"
+            )
+    if len(record.models) > MAX_MODELS:
+        raise InvalidAnnouncementError(f"record.models must have at most {MAX_MODELS} names")
+    if sum(len(model.encode(errors="replace")) for model in record.models) > MAX_MODELS_BYTES:
+        raise InvalidAnnouncementError(
+            f"record.models must have at most {MAX_MODELS_BYTES} bytes in all names"
+        )
 
 
 IDENTIFIER_FORM = f"1 to {MAX_ID_CHARACTERS} printable characters"
--- a/tests/adapter/test_control_calls.py
+++ b/tests/adapter/test_control_calls.py
@@ -336,6 +336,9 @@
     ("service", {"service": ""}),
     ("service", {"service": "s" * 201}),
     ("stage", {"stage": "other"}),
+    ("zone", {"zone": "z" * 201}),
+    ("models", {"models": [{"name": f"m{number}"} for number in range(33)]}),
+    ("models", {"models": [{"name": "m" * 2049}]}),
     ("seq", {"seq": "1"}),
 ]
 
