control: large updates are decoded and committed one after another

Updates have turns while their texts together have at most 8 MiB, in the order of their arrival; eight ordinary ones never wait. One whose caller has left by then is dropped before anything is submitted.

--- a/src/orchidpath/control/api/operator_api.py
+++ b/src/orchidpath/control/api/operator_api.py
@@ -53,6 +53,7 @@
     json_response,
     read_body,
 )
+from orchidpath.control.api.update_turns import UPDATE_TURNS, UpdateTurns, update_turn
 from orchidpath.state.commands import (
     CommandEncodeError,
     SubmitConfiguration,
@@ -85,6 +86,7 @@
     memory.permit(MAX_BODY_BYTES)
     app = web.Application(middlewares=[answer_errors])
     share_request_memory(app, memory)
+    app[UPDATE_TURNS] = UpdateTurns()
     api = _OperatorApi(access, registry)
     app.router.add_get("/v1/configuration", api.get_configuration)
     app.router.add_put("/v1/configuration", api.put_configuration)
@@ -133,7 +135,12 @@
           an update of unknown outcome again unchanged: its ``order_id`` ensures that it takes
           effect at most once.
         """
-        body = decode_submit(await read_body(request))
+        raw = await read_body(request)
+        async with update_turn(request, len(raw)):
+            return await self._submit(raw)
+
+    async def _submit(self, raw: bytes) -> web.Response:
+        body = decode_submit(raw)
         try:
             configuration = parse_configuration(bytes(body.configuration))
         except InvalidConfigurationError as error:
