control: a response that nobody reads takes no copy of its body

With a configuration of 8 MB in force, 100 clients that asked for it and read nothing took a control process to 505 MB (GET /config) and 667 MB (GET /v1/configuration), 900 of them to 1,259 and 1,289 MB; a machine has 300 MB. aiohttp writes a body to the transport at once, joined with its head, and the transport copies what the socket does not take. The operators' API also encoded a body for each caller, all in one turn of the event loop.

A body over 16 KiB is written piece by piece as its caller takes it, from the one object that the state holds; all such bodies count against 32 MiB, beyond which the oldest response is broken off, and a caller that takes nothing for 30 s is disconnected. Large bodies are encoded one in each turn of the event loop.

--- a/src/orchidpath/router/proxy/parsing_turns.py
+++ b/src/orchidpath/common/event_loop_turns.py
@@ -1,25 +1,23 @@
-"""Turns in which connections parse what they have received, one after another.
+"""Turns of the event loop for work that takes long or much memory, granted one after another.
 
 A caller may send a body in chunks of one byte, and parsing them takes far longer than receiving
-them. A connection that parses many events waits for a turn now and then, and each turn of the event
-loop grants one: whatever some callers send, the others are served in between.
+them; many callers may ask for a large response at the same moment. Such work waits for a turn, of
+which each turn of the event loop grants one: whatever some callers ask for, the others are served
+in between.
 """
 
 import asyncio
 from collections import deque
 
-EVENTS_PER_TURN = 64
-"""Number of HTTP events that a connection parses in one turn; ordinary requests have fewer."""
 
-
-class ParsingTurns:
-    """Grants turns to the connections of one server, in the order in which they asked."""
+class EventLoopTurns:
+    """Grants turns to the requests of one server, in the order in which they asked."""
 
     def __init__(self) -> None:
         self._waiting: deque[asyncio.Future[None]] = deque()
 
     async def next_turn(self) -> None:
-        """Wait until no other connection is about to parse its events."""
+        """Wait until no other request has its turn."""
         loop = asyncio.get_running_loop()
         turn = loop.create_future()
         self._waiting.append(turn)
--- a/src/orchidpath/control/api/operator_api.py
+++ b/src/orchidpath/control/api/operator_api.py
@@ -22,6 +22,7 @@
 import structlog
 from aiohttp import web
 
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.common.request_memory import RequestMemory
 from orchidpath.control.api.control_access import ControlAccess
 from orchidpath.control.api.operator_bodies import (
@@ -48,9 +49,11 @@
     MAX_ANNOUNCEMENT_BYTES,
     MAX_BODY_BYTES,
     REQUEST_MEMORY_BYTES,
+    RESPONSE_TURNS,
     answer_errors,
     error_response,
     json_response,
+    large_json_response,
     read_body,
 )
 from orchidpath.control.api.update_turns import UPDATE_TURNS, UpdateTurns, update_turn
@@ -87,6 +90,7 @@
     app = web.Application(middlewares=[answer_errors])
     share_request_memory(app, memory)
     app[UPDATE_TURNS] = UpdateTurns()
+    app[RESPONSE_TURNS] = EventLoopTurns()
     api = _OperatorApi(access, registry)
     app.router.add_get("/v1/configuration", api.get_configuration)
     app.router.add_put("/v1/configuration", api.put_configuration)
@@ -115,10 +119,11 @@
     async def get_configuration(self, request: web.Request) -> web.Response:
         """``GET /v1/configuration``: 200 ``{"version", "configuration"}``; 503 without a leader."""
         state = await self._access.read_state()
-        return json_response(
-            ConfigurationBody(
+        return await large_json_response(
+            request,
+            lambda: ConfigurationBody(
                 version=state.configuration_version, configuration=state.configuration
-            )
+            ),
         )
 
     async def put_configuration(self, request: web.Request) -> web.Response:
@@ -168,7 +173,7 @@
     async def get_history(self, request: web.Request) -> web.Response:
         """``GET /v1/configuration/history``: 200 ``{"history": [{"version", ...}]}``."""
         state = await self._access.read_state()
-        return json_response(HistoryBody(history=state.history()))
+        return await large_json_response(request, lambda: HistoryBody(history=state.history()))
 
     async def get_update(self, request: web.Request) -> web.Response:
         """``GET /v1/orders/{order_id}``: 200 with the first outcome; 404 ``unknown_order``.
@@ -197,19 +202,30 @@
         """
         circuits = {view.worker_id: view for view in await self._access.circuits()}
         state = await self._access.read_state()
-        workers = tuple(
-            worker_body(record, circuits.get(record.worker_id)) for record in state.workers()
+        return await large_json_response(
+            request,
+            lambda: WorkersBody(
+                revision=state.revision,
+                workers=tuple(
+                    worker_body(record, circuits.get(record.worker_id))
+                    for record in state.workers()
+                ),
+            ),
         )
-        return json_response(WorkersBody(revision=state.revision, workers=workers))
 
     async def get_routers(self, request: web.Request) -> web.Response:
         """``GET /v1/routers``: 200 ``{"revision", "routers": [{"record", "witness"}]}``."""
         state = await self._access.read_state()
-        routers = tuple(
-            RouterBody(record=record, witness=record.router_id in state.witnesses)
-            for record in state.routers()
+        return await large_json_response(
+            request,
+            lambda: RoutersBody(
+                revision=state.revision,
+                routers=tuple(
+                    RouterBody(record=record, witness=record.router_id in state.witnesses)
+                    for record in state.routers()
+                ),
+            ),
         )
-        return json_response(RoutersBody(revision=state.revision, routers=routers))
 
     async def get_members(self, request: web.Request) -> web.Response:
         """``GET /v1/members``: 200 ``{"term", "leader_id", "members": [...]}``."""
--- a/src/orchidpath/control/api/responses.py
+++ b/src/orchidpath/control/api/responses.py
@@ -7,6 +7,7 @@
 import structlog
 from aiohttp import web
 
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.control.api.control_access import UnavailableError
 from orchidpath.control.api.operator_bodies import (
     Accepted,
@@ -32,6 +33,9 @@
 BODY_TIMEOUT_SECONDS = 10.0
 """Bound on the arrival of a request's body; a slower request gets status 408."""
 
+RESPONSE_TURNS = web.AppKey("response_turns", EventLoopTurns)
+"""Turns in which an application makes large responses."""
+
 _log = structlog.get_logger(__name__)
 _CODES_BY_HTTP_STATUS = {
     404: OperatorErrorCode.NOT_FOUND,
@@ -105,6 +109,18 @@
     return response
 
 
+async def large_json_response(
+    request: web.Request, make_body: Callable[[], msgspec.Struct]
+) -> web.Response:
+    """Return a response with a body that may be large.
+
+    Such bodies are made one after another, and each is being sent before the next one is made, so
+    that the memory for responses bounds all of them.
+    """
+    await request.app[RESPONSE_TURNS].next_turn()
+    return json_response(make_body())
+
+
 def json_response(body: msgspec.Struct, status: int = 200) -> web.Response:
     """Return a response with the body encoded as JSON."""
     return web.Response(
--- a/src/orchidpath/control/process.py
+++ b/src/orchidpath/control/process.py
@@ -43,6 +43,7 @@
 from orchidpath.control.worker_commands import WorkerCommandFormat, WorkerCommandSender
 from orchidpath.wire.backend import WorkerCommand, WorkerCommandReply
 from orchidpath.wire.connection import Connection
+from orchidpath.wire.http_metrics import HttpServerMetrics
 from orchidpath.wire.http_server import BoundedHttpServer
 from orchidpath.wire.link_faults import LinkFaults, watch_fault_file
 from orchidpath.wire.messages import (
@@ -114,6 +115,10 @@
         self.metrics = Metrics()
         self._sync_seconds = self.metrics.latency("sync_seconds", "Time of one sync to disk")
         self._voter_watch = VoterWatch(self.metrics, clock)
+        self._http_metrics = HttpServerMetrics(self.metrics, clock)
+        self._workers_refused = self.metrics.counter(
+            "workers_refused", "Announcements refused since too many workers are registered."
+        )
 
     @property
     def drain_seconds(self) -> float:
@@ -177,7 +182,9 @@
             fleet=self._settings.fleet,
         )
         self._faults = LinkFaults() if self._settings.fault_file else None
-        self._access = LocalControlAccess(self._loop, self._clock, self._send_to_leader)
+        self._access = LocalControlAccess(
+            self._loop, self._clock, self._send_to_leader, self._workers_refused.inc
+        )
         self._worker_commands = WorkerCommandSender(
             self._on_worker_command_reply, self._command_format
         )
@@ -228,7 +235,9 @@
         add_plan_routes(app, self._access)
         if self._add_routes is not None:
             self._add_routes(app, self._access)
-        self._http_server = BoundedHttpServer(app, shutdown_seconds=HTTP_SHUTDOWN_SECONDS)
+        self._http_server = BoundedHttpServer(
+            app, shutdown_seconds=HTTP_SHUTDOWN_SECONDS, metrics=self._http_metrics
+        )
         await self._http_server.start(self._settings.http_address)
 
     async def _run_replica(self) -> None:
--- a/src/orchidpath/router/proxy/request_reader.py
+++ b/src/orchidpath/router/proxy/request_reader.py
@@ -12,8 +12,8 @@
 
 from orchidpath.common.clock import Clock
 from orchidpath.common.errors import OrchidpathError
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.common.request_memory import RequestMemory
-from orchidpath.router.proxy.parsing_turns import EVENTS_PER_TURN, ParsingTurns
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest
 from orchidpath.wire.configuration import EdgeLimits
 
@@ -31,6 +31,9 @@
 PARSED_PIECE_BYTES = 16_384
 """Received bytes that are given to the parser at once; it can't drop them any more."""
 
+EVENTS_PER_TURN = 64
+"""Number of HTTP events that a connection parses in one turn; ordinary requests have fewer."""
+
 LARGE_HEAD_BYTES = 4096
 """A head that may be larger than this waits for a turn before it is parsed."""
 
@@ -69,7 +72,7 @@
         self.edge_limits = edge_limits
         self.memory = memory
         self.clock = clock
-        self.turns = ParsingTurns()
+        self.turns = EventLoopTurns()
         self.lingering = 0
 
 
--- a/src/orchidpath/wire/http_bodies.py
+++ b/src/orchidpath/wire/http_bodies.py
@@ -29,6 +29,7 @@
 
     def __init__(self, memory: RequestMemory) -> None:
         self.memory = memory
+        self.request_rejected: Callable[[int], None] = lambda _status: None
         self._arriving: set[web.RequestHandler] = set()
 
     def is_arriving(self, connection: web.RequestHandler) -> bool:
@@ -83,14 +84,19 @@
         The caller closes the connection (400), the body is too large (413) or too slow (408), or
         there is no memory for it (503).
     """
-    return await request[_SHARE].read(request, max_bytes, timeout_seconds)
+    body_share = request[_SHARE]
+    try:
+        return await body_share.read(request, max_bytes, timeout_seconds)
+    except web.HTTPException as error:
+        body_share.bodies.request_rejected(error.status)
+        raise
 
 
 class _BodyShare:
     """Share of the server's memory that the body of one request takes."""
 
     def __init__(self, bodies: SharedBodies) -> None:
-        self._bodies = bodies
+        self.bodies = bodies
         self._share: RequestShare = bodies.memory.new_share(self._shed)
         self._is_shed = False
         self._timeout: asyncio.Timeout | None = None
@@ -107,7 +113,7 @@
         if announced_bytes > max_bytes:
             raise web.HTTPRequestEntityTooLarge(max_bytes, announced_bytes)
         try:
-            with self._bodies.arriving(request):
+            with self.bodies.arriving(request):
                 async with asyncio.timeout(timeout_seconds) as self._timeout:
                     body = await self._collect(request, max_bytes)
         except TimeoutError as error:
@@ -123,6 +129,11 @@
         return body
 
     async def _collect(self, request: web.Request, max_bytes: int) -> bytes:
+        """Collect the parts of a body.
+
+        The connection receives, and parses, more of the body once a part is taken. A part may be
+        thousands of chunks, so that each one after the first waits for a turn.
+        """
         body = bytearray()
         while part := await request.content.readany():
             body += part
--- a/src/orchidpath/wire/http_server.py
+++ b/src/orchidpath/wire/http_server.py
@@ -10,7 +10,10 @@
 
 from orchidpath.common.addresses import parse_address
 from orchidpath.common.descriptors import connections_within
+from orchidpath.common.response_memory import ResponseMemory
 from orchidpath.wire.http_bodies import SHARED_BODIES
+from orchidpath.wire.http_metrics import HttpServerMetrics
+from orchidpath.wire.http_responses import LargeResponses
 
 DEFAULT_MAX_CONNECTIONS = 1024
 """Default of the largest number of open connections."""
@@ -41,9 +44,13 @@
     handler_cancellation
         Whether the handler of a request is cancelled when its caller disconnects.
     max_connections
-        Largest number of open connections. For a further one, the oldest is closed, after the
-        answer if its request has arrived completely. Beyond twice as many, the further one is
-        closed.
+        Largest number of open connections. For a further one, the oldest is closed: at once, also
+        while a response is sent, or after its handler has returned if its request has arrived
+        completely. Beyond twice as many, the further one is closed.
+    responses
+        Bounds the large responses; by default, with a memory of this server alone.
+    metrics
+        Counts the callers that meet a limit; by default, metrics of this server alone.
     """
 
     def __init__(
@@ -53,9 +60,16 @@
         shutdown_seconds: float,
         handler_cancellation: bool = False,
         max_connections: int | None = None,
+        responses: LargeResponses | None = None,
+        metrics: HttpServerMetrics | None = None,
     ) -> None:
+        self._metrics = metrics or HttpServerMetrics()
         self._bodies = app[SHARED_BODIES]
+        self._bodies.request_rejected = self._metrics.request_rejected
+        self.responses = responses or LargeResponses(ResponseMemory(), metrics=self._metrics)
+        self._metrics.watch_memory(self._bodies.memory, self.responses.memory)
         app.middlewares.insert(0, self._record_serving)
+        app.middlewares.insert(0, self.responses.send_by_pieces)
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -100,6 +114,7 @@
         assert server is not None
         connections = server.connections
         if len(connections) >= 2 * self._max_connections:
+            self._metrics.connection_closed_for_room()
             return _RefusedConnection()
         if len(connections) >= self._max_connections:
             self._close_oldest(connections)
@@ -110,6 +125,7 @@
         for connection in connections:
             if connection not in self._closing:
                 self._closing.add(connection)
+                self._metrics.connection_closed_for_room()
                 is_arriving = self._bodies.is_arriving(connection)
                 if connection in self._serving and not is_arriving:
                     connection.close()
--- a/tests/router/test_reading_limits.py
+++ b/tests/router/test_reading_limits.py
@@ -5,13 +5,17 @@
 from contextlib import asynccontextmanager, suppress
 
 from orchidpath.common.clock import monotonic_seconds
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.common.request_memory import RequestMemory
 from orchidpath.router.proxy.caller_connection import CallerConnection
-from orchidpath.router.proxy.parsing_turns import EVENTS_PER_TURN, ParsingTurns
 from orchidpath.router.proxy.proxy_messages import ForwardedRequest
 from orchidpath.router.proxy.proxy_metrics import ProxyMetrics
 from orchidpath.router.proxy.proxy_server import ProxyServer
-from orchidpath.router.proxy.request_reader import HEADER_OVERHEAD_BYTES, MAX_LINGERING
+from orchidpath.router.proxy.request_reader import (
+    EVENTS_PER_TURN,
+    HEADER_OVERHEAD_BYTES,
+    MAX_LINGERING,
+)
 from orchidpath.wire.configuration import EdgeLimits
 
 WAIT_SECONDS = 30.0
@@ -87,7 +91,7 @@
 
 
 async def test_turns_are_granted_one_at_a_time_in_order() -> None:
-    turns = ParsingTurns()
+    turns = EventLoopTurns()
     granted: list[int] = []
     loop_turns: list[int] = []
 
