wire: bodies in many parts are parsed in turns

A body of more than one part now waits for a turn before it takes, and so receives, more, as on the proxy path; an ordinary body has one part. test_bodies_of_many_parts_are_read_in_turns fails without the rule.

--- a/src/orchidpath/wire/http_bodies.py
+++ b/src/orchidpath/wire/http_bodies.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.common.request_memory import RequestMemory, RequestShare
 
 NO_MEMORY_RETRY_SECONDS = 1
@@ -29,6 +30,7 @@
 
     def __init__(self, memory: RequestMemory) -> None:
         self.memory = memory
+        self.turns = EventLoopTurns()
         self.request_rejected: Callable[[int], None] = lambda _status: None
         self._arriving: set[web.RequestHandler] = set()
 
@@ -142,6 +144,8 @@
             self._share.resize(len(body))
             if self._is_shed:
                 break
+            if not request.content.at_eof():
+                await self.bodies.turns.next_turn()
         return bytes(body)
 
     def _shed(self) -> None:
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -6,8 +6,9 @@
 
 from aiohttp import web
 
+from orchidpath.common.event_loop_turns import EventLoopTurns
 from orchidpath.common.request_memory import RequestMemory
-from orchidpath.wire.http_bodies import read_body, share_request_memory
+from orchidpath.wire.http_bodies import SHARED_BODIES, read_body, share_request_memory
 from orchidpath.wire.http_server import BoundedHttpServer
 
 WAIT_SECONDS = 30.0
@@ -41,6 +42,18 @@
         return web.Response(text=str(len(body)))
 
 
+class CountingTurns(EventLoopTurns):
+    """Counts the turns that were asked for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.count = 0
+
+    async def next_turn(self) -> None:
+        self.count += 1
+        await super().next_turn()
+
+
 class Serving:
     def __init__(self, server: BoundedHttpServer, application: Application) -> None:
         self._server = server
@@ -94,6 +107,27 @@
             writer.close()
 
 
+async def test_bodies_of_many_parts_are_read_in_turns() -> None:
+    """Guards against ordinary callers that wait until all bodies in tiny chunks are parsed."""
+    async with serving() as server:
+        turns = CountingTurns()
+        server.application.app[SHARED_BODIES].turns = turns
+        connections = [await server.connect() for _ in range(4)]
+        chunks = b"1\r\nx\r\n" * (MAX_BODY_BYTES - 1)
+        for _, writer in connections:
+            writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+        for reader, writer in connections:
+            assert await status(reader) == 200
+            writer.close()
+        assert turns.count >= len(connections)
+        reader, writer = await server.connect()
+        before = turns.count
+        writer.write(HEAD + b"Content-Length: 5\r\n\r\nstock")
+        assert await status(reader) == 200
+        assert turns.count == before
+        writer.close()
+
+
 async def test_the_memory_of_a_body_is_held_until_its_answer() -> None:
     memory = RequestMemory()
     async with serving(memory) as server:
