soak: crowds of clients outside the limits are one more kind of event

A seed determines their kind, port, size and time; they overlap signals, restarts and changes, while ordinary clients go on on open connections. The soak also checks that no process takes more than a machine's memory.

--- a/tests/soak/configuration_soak.py
+++ b/tests/soak/configuration_soak.py
@@ -1,4 +1,4 @@
-"""Soak of real processes: configurations, signals and restarts in series that overlap.
+"""Soak of real processes: configurations, signals, restarts and crowds in series that overlap.
 
 Clients keep using their open connections until a process is gone. A seed determines the order of
 the events and their kinds; how they meet depends on the machine. By hand::
@@ -30,6 +30,7 @@
     Update,
     content_of,
 )
+from soak_crowds import SoakCrowd
 from soak_processes import (
     CONTROL,
     CONTROL_PORT,
@@ -314,6 +315,8 @@
             self._freeze_control,
             self._replace_worker,
             self._replace_worker,
+            self._send_crowd,
+            self._send_crowd,
         ]
         while self._now < end_at:
             event = self._random.choice(events)
@@ -412,6 +415,15 @@
         await asyncio.sleep(DEADLINE_SECONDS + 1.0)
         await worker.stop()
 
+    async def _send_crowd(self) -> None:
+        """Let clients outside the limits meet the programs of one machine."""
+        machine = self._random.choice(self._machines)
+        crowd = SoakCrowd(self._random, machine)
+        self._note(f"machine {machine.number} meets a crowd: {crowd.description}")
+        await crowd.run()
+        self.observations.problems += machine.memory_problems()
+        self._note(f"machine {machine.number} is left by a crowd: {crowd.description}")
+
     # The end
 
     async def _settle(self) -> None:
--- a/tests/soak/soak_processes.py
+++ b/tests/soak/soak_processes.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from loopback_hosts import free_hosts
+from machine_limits import MACHINE_MEMORY_BYTES, peak_memory_bytes
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -176,6 +177,15 @@
             if process.poll() is not None and program not in self._expected_to_end
         ]
 
+    def memory_problems(self) -> list[str]:
+        """Return the programs that have ever taken more than the memory of a machine."""
+        problems = []
+        for program, process in self._processes.items():
+            peak_bytes = peak_memory_bytes(process.pid) if self.is_running(program) else 0
+            if peak_bytes >= MACHINE_MEMORY_BYTES:
+                problems.append(f"{program} of {self.number} took {peak_bytes / 1e6:.0f} MB")
+        return problems
+
     def kill_all(self) -> None:
         """End both processes at once, at the end of the run."""
         for program, process in self._processes.items():
