leader, router: what is kept under the ids of workers and prefixes that come and go is bounded

Found by going through every table whose keys are words of clients or workers. Whoever registers workers under ever new ids, or makes up prefixes, took memory that was never given back.

Each has a bound far above the size to design for, or forgets what has no effect any more.

--- a/src/orchidpath/circuit/registry.py
+++ b/src/orchidpath/circuit/registry.py
@@ -7,6 +7,9 @@
 from orchidpath.circuit.worker_health import HealthWindow
 from orchidpath.wire.records import CircuitRecord, WorkerRecord, WorkerStatus
 
+RETIRED_LIMIT = 1024
+"""Number of workers without a changed circuit that are remembered after they were removed."""
+
 
 class TrackedWorker:
     """Circuit, health and failure domain of one worker.
@@ -45,11 +48,17 @@
         self._health_window_seconds = health_window_seconds
         self._workers: dict[str, TrackedWorker] = {}
         self._retired: dict[str, WorkerCircuit] = {}
+        self._retired_unchanged: dict[str, WorkerCircuit] = {}
         self._has_membership = False
 
     def __iter__(self) -> Iterator[TrackedWorker]:
         return iter(self._workers.values())
 
+    @property
+    def retired_count(self) -> int:
+        """Number of circuits that are stored for workers that are not registered."""
+        return len(self._retired) + len(self._retired_unchanged)
+
     def get(self, worker_id: str) -> TrackedWorker | None:
         """Return a registered worker.
 
@@ -94,7 +103,10 @@
         """
         if worker_id in self._workers or not self._has_membership:
             return self._tracked(worker_id).circuit
-        return self._retired.setdefault(worker_id, WorkerCircuit(worker_id))
+        if worker_id not in self._retired:
+            unchanged = self._retired_unchanged.pop(worker_id, None)
+            self._retired[worker_id] = unchanged or WorkerCircuit(worker_id)
+        return self._retired[worker_id]
 
     def remove_circuit(self, worker_id: str) -> None:
         """Remove the agreed circuit of a worker after the log has removed its record.
@@ -104,7 +116,7 @@
         worker_id
             The worker.
         """
-        self._retired.pop(worker_id, None)
+        self._take_retired(worker_id)
         worker = self._workers.get(worker_id)
         if worker is not None:
             worker.circuit = WorkerCircuit(worker_id, worker.circuit.incarnation)
@@ -141,10 +153,27 @@
         }
         removed = [worker_id for worker_id in self._workers if worker_id not in present]
         for worker_id in removed:
-            self._retired[worker_id] = self._workers.pop(worker_id).circuit
+            self._retire(self._workers.pop(worker_id).circuit)
         replaced = [record.worker_id for record in present.values() if self._set_worker(record)]
         return removed + replaced
 
+    def _retire(self, circuit: WorkerCircuit) -> None:
+        """Store the circuit of a worker that was removed; it may return.
+
+        Circuits that never changed are forgotten above `RETIRED_LIMIT`, the oldest first. The
+        others are as many as the replicated state stores, which `remove_circuit` follows.
+        """
+        if circuit.record.generation:
+            self._retired[circuit.record.worker_id] = circuit
+            return
+        self._retired_unchanged[circuit.record.worker_id] = circuit
+        if len(self._retired_unchanged) > RETIRED_LIMIT:
+            del self._retired_unchanged[next(iter(self._retired_unchanged))]
+
+    def _take_retired(self, worker_id: str) -> WorkerCircuit | None:
+        unchanged = self._retired_unchanged.pop(worker_id, None)
+        return self._retired.pop(worker_id, unchanged)
+
     def _tracked(self, worker_id: str) -> TrackedWorker:
         worker = self._workers.get(worker_id)
         if worker is None:
@@ -155,7 +184,7 @@
     def _set_worker(self, record: WorkerRecord) -> bool:
         """Track a worker of the membership and return whether its process has been replaced."""
         worker = self._tracked(record.worker_id)
-        retired = self._retired.pop(record.worker_id, None)
+        retired = self._take_retired(record.worker_id)
         if retired is not None:
             worker.circuit = retired
         is_replaced = worker.circuit.set_incarnation(record.incarnation)
--- a/src/orchidpath/control/leadership/liveness.py
+++ b/src/orchidpath/control/leadership/liveness.py
@@ -56,6 +56,11 @@
         self._routers: dict[str, float] = {}
         self._proposed: dict[str, float] = {}
 
+    @property
+    def proposal_count(self) -> int:
+        """Number of removals whose last proposal is remembered."""
+        return len(self._proposed)
+
     def record_announcement(
         self, worker_id: str, incarnation: str, sequence: int, now: float
     ) -> bool:
@@ -125,5 +130,15 @@
         proposed_at = self._proposed.get(name)
         if proposed_at is not None and now - proposed_at < REPEAT_PROPOSAL_SECONDS:
             return False
+        self._forget_proposals(now)
+        self._proposed.pop(name, None)
         self._proposed[name] = now
         return True
+
+    def _forget_proposals(self, now: float) -> None:
+        """Drop the proposals, oldest first, that may be repeated anyway, to bound the memory."""
+        while self._proposed:
+            oldest = next(iter(self._proposed))
+            if now - self._proposed[oldest] < REPEAT_PROPOSAL_SECONDS:
+                return
+            del self._proposed[oldest]
--- a/src/orchidpath/placement/prefill_placement.py
+++ b/src/orchidpath/placement/prefill_placement.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from orchidpath.placement.cached_prefixes import CachedPrefixes
 from orchidpath.placement.prefill_queues import PrefillQueues
 from orchidpath.wire.configuration import PlacementPolicy
 from orchidpath.wire.messages import (
@@ -109,24 +110,6 @@
 """Requests are not postponed for a prefill that is overdue by more than this time."""
 
 
-class _CachedPrefixes:
-    """LRU estimate of the shared prefixes that one worker has cached."""
-
-    def __init__(self) -> None:
-        self._tokens: OrderedDict[int, int] = OrderedDict()
-        self._total = 0
-
-    def __contains__(self, prefix_key: int) -> bool:
-        return prefix_key in self._tokens
-
-    def use(self, prefix_key: int, tokens: int, capacity_tokens: int) -> None:
-        """Mark a prefix as most recently used, and evict others while over capacity."""
-        self._total += tokens - self._tokens.pop(prefix_key, 0)
-        self._tokens[prefix_key] = tokens
-        while self._total > capacity_tokens and len(self._tokens) > 1:
-            self._total -= self._tokens.popitem(last=False)[1]
-
-
 class PrefillPlacement:
     """Orders the candidate workers of a decision by the cost of running the attempt on them.
 
@@ -137,7 +120,7 @@
     """
 
     def __init__(self) -> None:
-        self._cached_prefixes: dict[str, _CachedPrefixes] = {}
+        self._cached_prefixes: dict[str, CachedPrefixes] = {}
         self._queues = PrefillQueues()
         self._pending_prefixes: OrderedDict[tuple[str, str], PromptShape] = OrderedDict()
         self._prefilling: dict[tuple[str, int], str] = {}
@@ -244,13 +227,20 @@
                     measures_pace=choice.stage is Stage.PREFILL,
                 )
             if choice.stage is Stage.PREFILL and not self._has_cached(choice.worker_id, prompt):
-                self._prefilling[choice.worker_id, prompt.prefix_key] = request.attempt_id
+                self._record_prefilling(choice.worker_id, prompt, request.attempt_id)
             if choice.stage in {Stage.PREFILL, Stage.DECODE}:
                 self._pending_prefixes[request.attempt_id, choice.worker_id] = prompt
                 if len(self._pending_prefixes) > MAX_PENDING_PREFIXES:
                     self._pending_prefixes.popitem(last=False)
         return expected_seconds
 
+    def _record_prefilling(self, worker_id: str, prompt: PromptShape, attempt_id: str) -> None:
+        """Record which attempt prefills a prefix; a prefill may end without a report."""
+        self._prefilling.pop((worker_id, prompt.prefix_key), None)
+        self._prefilling[worker_id, prompt.prefix_key] = attempt_id
+        if len(self._prefilling) > MAX_PENDING_PREFIXES:
+            del self._prefilling[next(iter(self._prefilling))]
+
     def postponed_seconds(self, request: DecisionRequest, now: float) -> float:
         """Return the seconds by which to postpone a request; 0 if it can be decided now.
 
@@ -416,7 +406,7 @@
 
     def _add_cached(self, worker_id: str, prompt: PromptShape) -> None:
         if prompt.shared_tokens:
-            cached = self._cached_prefixes.setdefault(worker_id, _CachedPrefixes())
+            cached = self._cached_prefixes.setdefault(worker_id, CachedPrefixes())
             capacity_tokens = int(self._capacity_tokens * PREFIX_CACHE_SHARE)
             cached.use(prompt.prefix_key, prompt.shared_tokens, capacity_tokens)
 
--- a/src/orchidpath/router/fleet_link/announced_workers.py
+++ b/src/orchidpath/router/fleet_link/announced_workers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from orchidpath.wire.announcements import MAX_WORKERS
 from orchidpath.wire.backend import Announcement
 from orchidpath.wire.records import FleetView, WorkerStatus
 
@@ -24,6 +25,11 @@
         self._announced: dict[str, _Announced] = {}
         self._listed: dict[str, str] = {}
 
+    @property
+    def remembered_count(self) -> int:
+        """Number of workers of which an announcement or an incarnation is stored."""
+        return len(self._announced.keys() | self._listed.keys())
+
     def record_announcement(self, announcement: Announcement) -> bool:
         """Store an announcement if it is newer than the stored one.
 
@@ -38,9 +44,12 @@
         if known is not None and same and known.sequence >= announcement.sequence:
             return False
         is_draining = record.status is not WorkerStatus.READY
+        self._announced.pop(record.worker_id, None)
         self._announced[record.worker_id] = _Announced(
             record.incarnation, announcement.sequence, is_draining
         )
+        if len(self._announced) > MAX_WORKERS:
+            del self._announced[next(iter(self._announced))]
         return True
 
     def is_draining(self, worker_id: str) -> bool:
@@ -64,3 +73,13 @@
             if was_listed and worker.incarnation != before:
                 del self._announced[worker_id]
             self._listed[worker_id] = worker.incarnation
+        self._forget_unlisted(view)
+
+    def _forget_unlisted(self, view: FleetView) -> None:
+        """Drop which incarnation a worker had that is neither in the view nor has announced."""
+        listed = {worker.worker_id for worker in view.workers}
+        self._listed = {
+            worker_id: incarnation
+            for worker_id, incarnation in self._listed.items()
+            if worker_id in listed or worker_id in self._announced
+        }
--- a/tests/control/test_liveness.py
+++ b/tests/control/test_liveness.py
@@ -26,3 +26,15 @@
     assert tracker.silent_routers(["r"], silent_at) == ["r"]
     assert tracker.silent_routers(["r"], silent_at + 0.5) == []
     assert tracker.silent_routers(["r"], silent_at + 1.5) == ["r"]
+
+
+def test_proposals_that_may_be_repeated_are_forgotten() -> None:
+    """Guards against a leader whose memory grows with every worker that ever fell silent."""
+    tracker = LivenessTracker()
+    for number in range(100):
+        now = 100.0 * number
+        workers = {f"w{number}": "first"}
+        tracker.silent_workers(workers, now)
+        assert len(tracker.silent_workers(workers, now + WORKER_LEASE_SECONDS + 0.1)) == 1
+        tracker.retain_workers({})
+        assert tracker.proposal_count == 1
--- a/tests/router/test_announced_workers.py
+++ b/tests/router/test_announced_workers.py
@@ -3,11 +3,18 @@
 import msgspec
 
 from orchidpath.router.fleet_link.announced_workers import AnnouncedWorkers
+from orchidpath.wire.announcements import MAX_WORKERS
 from orchidpath.wire.backend import Announcement
 from orchidpath.wire.configuration import Configuration
 from orchidpath.wire.records import FleetView, Stage, WorkerRecord, WorkerStatus
 
 
+def worker(worker_id: str) -> WorkerRecord:
+    return WorkerRecord(
+        worker_id=worker_id, incarnation="first", service="s", stage=Stage.DECODE, url="http://w"
+    )
+
+
 def view(*incarnations: str) -> FleetView:
     workers = tuple(
         WorkerRecord(
@@ -45,3 +52,19 @@
     announced.view_adopted(view())
     announced.view_adopted(view("first"))
     assert announced.is_draining("w")
+
+
+def test_the_announcements_that_are_remembered_are_bounded() -> None:
+    """Guards against a router whose memory grows with every worker that ever announced itself."""
+    announced = AnnouncedWorkers()
+    for number in range(MAX_WORKERS + 10):
+        announced.record_announcement(Announcement(record=worker(str(number)), sequence=1))
+    assert announced.remembered_count == MAX_WORKERS
+
+
+def test_a_worker_that_left_the_view_and_never_announced_itself_is_forgotten() -> None:
+    announced = AnnouncedWorkers()
+    for _ in range(3):
+        announced.view_adopted(view("first"))
+        announced.view_adopted(view())
+        assert announced.remembered_count == 0
