--- a/tests/hostile/hostile_fleet.py
+++ b/tests/hostile/hostile_fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from loopback_hosts import free_hosts
-from machine_limits import MACHINE_MEMORY_BYTES, peak_memory_bytes
+from machine_limits import MACHINE_DESCRIPTORS, MACHINE_MEMORY_BYTES, peak_memory_bytes
 
 ROOT = Path(__file__).parents[2]
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT = 8144, 8140, 8146, 7660
@@ -25,9 +25,6 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest body that the configuration of these tests permits."""
 
-MACHINE_DESCRIPTORS = 4100
-"""Descriptors of a machine of the deployments, which no process may exceed."""
-
 SIGNED = "X-Server-Signature: sig.1"
 HEARTBEAT_SECONDS = 0.3
 RETRY_SECONDS = 0.1
--- a/tests/machine_limits.py
+++ b/tests/machine_limits.py
@@ -1,10 +1,13 @@
-"""Memory of a machine of the deployments, and what a process has taken of it."""
+"""Limits of a machine of the deployments, and what a process has taken of its memory."""
 
 from pathlib import Path
 
 MACHINE_MEMORY_BYTES = 300_000_000
 """Memory of a machine of the deployments, which no process may exceed."""
 
+MACHINE_DESCRIPTORS = 4100
+"""Descriptors of a machine of the deployments, which no process may exceed."""
+
 
 def peak_memory_bytes(process_id: int) -> int:
     """Return the most memory that a process has had resident; 0 if it is gone."""
