--- a/tests/hostile/hostile_checks.py
+++ b/tests/hostile/hostile_checks.py
@@ -1,8 +1,9 @@
 """What is checked of a fleet while a crowd has its connections open, and afterwards."""
 
-from crowds import Crowd, Sending
 from hostile_fleet import MAX_BODY_BYTES, READY_PORT, HostileFleet, document
 
+from crowds import Crowd, Sending
+
 
 async def check_crowd(fleet: HostileFleet, port: int, sending: Sending, members: int) -> None:
     """Check that the fleet is unharmed and serves while a crowd has its connections open."""
--- a/tests/hostile/test_hostile_clients.py
+++ b/tests/hostile/test_hostile_clients.py
@@ -8,6 +8,17 @@
 from pathlib import Path
 
 import pytest
+from hostile_checks import check_crowd
+from hostile_fleet import (
+    CONTROL_PORT,
+    CONTROL_WIRE_PORT,
+    FRONT_PORT,
+    MAX_BODY_BYTES,
+    READY_PORT,
+    ROUTER_WIRE_PORT,
+    running_fleet,
+)
+
 from crowds import (
     Crowd,
     announced_too_large,
@@ -19,16 +30,6 @@
     raw,
     whole_body,
 )
-from hostile_checks import check_crowd
-from hostile_fleet import (
-    CONTROL_PORT,
-    CONTROL_WIRE_PORT,
-    FRONT_PORT,
-    MAX_BODY_BYTES,
-    READY_PORT,
-    ROUTER_WIRE_PORT,
-    running_fleet,
-)
 
 MEMBERS = 100
 CONTROL_BODY_BYTES = 8_000_000
