--- a/tests/hostile/test_hostile_operators.py
+++ b/tests/hostile/test_hostile_operators.py
@@ -74,3 +74,24 @@
     """Guards against processes that run out of memory over workers that nobody has started."""
     async with running_fleet(tmp_path) as fleet:
         await check_crowd(fleet, CONTROL_PORT, REGISTRATIONS[crowd], MEMBERS)
+
+
+async def test_a_crowd_that_reads_no_list_of_many_workers(tmp_path: Path) -> None:
+    """Guards against lists that are made for each caller, as long as the largest fleet's."""
+    async with running_fleet(tmp_path) as fleet:
+        workers = REGISTRATIONS["just_within_the_limits"]
+        registering = Crowd(fleet.host, CONTROL_PORT, MEMBERS, workers)
+        sending = request_without_body("GET", "/v1/workers")
+        reading = Crowd(fleet.host, CONTROL_PORT, MEMBERS, sending, reads=False)
+        try:
+            await registering.send()
+            await reading.send()
+            fleet.assert_unharmed()
+            await fleet.request_until_served()
+            await fleet.call("PUT", "/config", document(2), {"If-Match": "1"}, until=200)
+            fleet.assert_unharmed()
+        finally:
+            await reading.leave()
+            await registering.leave()
+        await fleet.request_until_served()
+        fleet.assert_unharmed()
--- a/tests/soak/configuration_soak.py
+++ b/tests/soak/configuration_soak.py
@@ -419,6 +419,7 @@
         """Let clients outside the limits meet the programs of one machine."""
         machine = self._random.choice(self._machines)
         crowd = SoakCrowd(self._random, machine)
+        self.observations.crowds += 1
         self._note(f"machine {machine.number} meets a crowd: {crowd.description}")
         await crowd.run()
         self.observations.problems += machine.memory_problems()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -71,6 +71,7 @@
         self.updates: list[SentUpdate] = []
         self.problems: list[str] = []
         self.timeline: list[str] = []
+        self.crowds = 0
 
     def check(self) -> list[str]:
         """Return every broken rule, with the request or process that broke it."""
@@ -148,6 +149,7 @@
         "statuses": dict(sorted(statuses.items())),
         "updates": len(observations.updates),
         "acknowledged": len(acknowledged),
+        "crowds": observations.crowds,
         "newest_version_bits": max(
             (sent.update.version.bit_length() for sent in acknowledged), default=0
         ),
--- a/tests/soak/test_configuration_soak.py
+++ b/tests/soak/test_configuration_soak.py
@@ -11,7 +11,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_no_rule_breaks_while_configurations_signals_and_restarts_overlap(
+def test_no_rule_breaks_while_configurations_signals_restarts_and_crowds_overlap(
     seed: int, tmp_path: Path
 ) -> None:
     """Guards against requests, orders and processes that are lost around planned changes.
@@ -23,3 +23,4 @@
     counts = summary(observations)
     assert counts["statuses"]["200"] > 100
     assert counts["acknowledged"] > 5
+    assert counts["crowds"] > 0
